--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+MODULES := ./... ./agent/... ./cranberryward/... ./entry/... ./standin/...
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
+SEED ?= 1
+ROUNDS ?= 1
+SECONDS ?= 20
+DEPLOYMENT ?= parlamigo
+
+.PHONY: build format vet lint test check bench measure slopes soak
+
+build:
+	go build -ldflags "-X github.com/cranberryward/cranberryward.Version=$(VERSION)" -o bin/ ./agent ./cranberryward ./entry ./standin
+
+format:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+
+vet:
+	go vet $(MODULES)
+
+bin/staticcheck: tools/go.mod
+	cd tools && GOWORK=off go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+lint: bin/staticcheck
+	bin/staticcheck $(MODULES)
+
+test:
+	go test -race -count=1 $(MODULES)
+
+check: format vet lint test
--- /dev/null
+++ b/agent/guard/doc.go
@@ -0,0 +1,2 @@
+// Package guard checks every order before it reaches the backend server.
+package guard
--- /dev/null
+++ b/agent/guard/guard.go
@@ -0,0 +1,105 @@
+package guard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/distributor"
+	"github.com/cranberryward/cranberryward/switcher"
+	"github.com/go-kit/log"
+)
+
+// Limits bound what the guard lets through.
+type Limits struct {
+	MaxAge     time.Duration `json:"max_age"`
+	HoldBound  time.Duration `json:"hold_bound"`
+	ClockError time.Duration `json:"clock_error"`
+}
+
+// Guard is the last check of orders before the engine: numbers that only grow, quiet windows and the age of the configuration.
+type Guard struct {
+	engine      cranberryward.Engine
+	holder      *distributor.Holder
+	zone        string
+	incarnation string
+	limits      Limits
+	logger      log.Logger
+	mutex       sync.Mutex
+	greatest    uint64
+	known       bool
+}
+
+// New returns a guard before an engine for one life of an agent.
+func New(engine cranberryward.Engine, holder *distributor.Holder, zone, incarnation string, limits Limits, logger log.Logger) *Guard {
+	return &Guard{
+		engine:      engine,
+		holder:      holder,
+		zone:        zone,
+		incarnation: incarnation,
+		limits:      limits,
+		logger:      logger,
+	}
+}
+
+// Order lets an order through to the engine or refuses it as not run.
+func (guard *Guard) Order(ctx context.Context, envelope switcher.Envelope) error {
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	err := guard.check(ctx, envelope)
+	if err == nil {
+		guard.greatest = envelope.Order.Fencing
+		err = guard.engine.Order(ctx, envelope.Order)
+	}
+	verdict := cranberryward.VerdictOf(err)
+	_ = guard.logger.Log("event", "order", "kind", envelope.Order.Kind, "group", envelope.Order.Group, "fencing", envelope.Order.Fencing,
+		"version", envelope.Order.Version, "step", envelope.Order.Step, "verdict", verdict, "revision", guard.holder.Revision(), "error", err)
+	return err
+}
+
+func refuse(reason cranberryward.Reason, message string) error {
+	return cranberryward.NewFailure(cranberryward.NotRun, reason, message).WithResend(false)
+}
+
+func (guard *Guard) check(ctx context.Context, envelope switcher.Envelope) error {
+	if envelope.Incarnation != "" && envelope.Incarnation != guard.incarnation {
+		return refuse(cranberryward.ReasonWrongIncarnation, "the order is for an earlier life of this agent")
+	}
+	if !guard.known {
+		state, err := guard.engine.RankState(ctx)
+		if err != nil {
+			return refuse(cranberryward.ReasonUnreachable, "the engine's present fencing number cannot be read")
+		}
+		guard.greatest = max(guard.greatest, state.Fencing)
+		guard.known = true
+	}
+	if envelope.Order.Fencing < guard.greatest {
+		return refuse(cranberryward.ReasonFenced, "a newer order has been carried out")
+	}
+	if disruptive(envelope.Order.Kind) && !envelope.Recovery {
+		return guard.MayDisrupt()
+	}
+	return nil
+}
+
+func disruptive(kind cranberryward.OrderKind) bool {
+	switch kind {
+	case cranberryward.OrderPrepare, cranberryward.OrderHold, cranberryward.OrderLoadModel, cranberryward.OrderRole:
+		return true
+	}
+	return false
+}
+
+// MayDisrupt returns nil when a disruptive act may start now and end before any quiet window opens.
+func (guard *Guard) MayDisrupt() error {
+	age, confirmed := guard.holder.Age()
+	if !confirmed || age > guard.limits.MaxAge {
+		return refuse(cranberryward.ReasonStale, "the configuration cannot be confirmed as the newest")
+	}
+	now := time.Now()
+	if window, quiet := guard.holder.Effect().Calendar().Quiet(guard.zone, now, now.Add(guard.limits.HoldBound), guard.limits.ClockError); quiet {
+		return refuse(cranberryward.ReasonQuietWindow, "the quiet window "+window.Name()+" is open or opens before the act could end")
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/homekeeper/keeper.go
@@ -0,0 +1,263 @@
+package homekeeper
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/deduplicator"
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	keyPrefix    = "homes/"
+	retryDelay   = 200 * time.Millisecond
+	callTimeout  = 2 * time.Second
+	listPeriod   = time.Second
+	waitDivisor  = 4
+	handOverTime = 3 * time.Second
+)
+
+// Settings say which instance keeps which service's keys.
+type Settings struct {
+	Instance   cranberryward.Instance `json:"instance"`
+	Lifetime   time.Duration          `json:"lifetime"`
+	ListLag    time.Duration          `json:"list_lag"`
+	ClockError time.Duration          `json:"clock_error"`
+}
+
+// Keeper follows the table and answers whether this instance may admit a key.
+type Keeper struct {
+	settings  Settings
+	store     cranberryward.KeyValueStore
+	list      cranberryward.InstanceList
+	logger    log.Logger
+	mutex     sync.Mutex
+	authority deduplicator.Authority
+	revision  uint64
+	listed    []cranberryward.Instance
+	stopping  bool
+}
+
+// New returns a keeper that knows no table yet.
+func New(settings Settings, store cranberryward.KeyValueStore, list cranberryward.InstanceList, logger log.Logger) *Keeper {
+	return &Keeper{
+		settings:  settings,
+		store:     store,
+		list:      list,
+		logger:    logger,
+		authority: deduplicator.NewAuthority(settings.Instance.ID, settings.Instance.Incarnation, settings.Lifetime, settings.ClockError),
+	}
+}
+
+func (keeper *Keeper) key() string { return keyPrefix + keeper.settings.Instance.Service }
+
+// Table returns the newest table.
+func (keeper *Keeper) Table() deduplicator.Table {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.authority.Table()
+}
+
+// MayAdmit returns nil when this instance may admit a key of the shard now.
+func (keeper *Keeper) MayAdmit(shard int) error {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	if keeper.stopping {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonStopping, "the home of the key is stopping")
+	}
+	return keeper.authority.MayAdmit(shard, time.Now())
+}
+
+// Doubt returns what an earlier home may have done with a key that is not remembered.
+func (keeper *Keeper) Doubt(key string, retention time.Duration) deduplicator.Doubt {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.authority.Doubt(key, time.Now(), retention)
+}
+
+// Run follows the table until the context ends.
+func (keeper *Keeper) Run(ctx context.Context) {
+	go keeper.runList(ctx)
+	for ctx.Err() == nil {
+		if err := keeper.follow(ctx); err != nil {
+			pause(ctx, retryDelay)
+		}
+	}
+}
+
+func pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+func (keeper *Keeper) follow(ctx context.Context) error {
+	wait := keeper.settings.Lifetime / waitDivisor
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	keeper.mutex.Lock()
+	after := keeper.revision
+	keeper.mutex.Unlock()
+	sent := time.Now()
+	record, err := keeper.store.Watch(ctx, keeper.key(), after, wait)
+	if err != nil {
+		return err
+	}
+	return keeper.take(record, watchedAt(sent, time.Now(), record.Revision == after, wait))
+}
+
+// watchedAt returns an instant at which the service certainly held the answer of a watch: it holds an unchanged key until the wait is over.
+func watchedAt(sent, answered time.Time, unchanged bool, wait time.Duration) time.Time {
+	if late := answered.Add(-callTimeout); unchanged && late.After(sent) && answered.Sub(sent) <= wait+callTimeout {
+		return late
+	}
+	return sent
+}
+
+func (keeper *Keeper) take(record cranberryward.Record, at time.Time) error {
+	var table deduplicator.Table
+	if record.Exists() {
+		if err := json.Unmarshal(record.Value, &table); err != nil {
+			return eris.Wrap(err, "decode table of key homes")
+		}
+	}
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	if record.Revision < keeper.revision {
+		return nil
+	}
+	keeper.revision = record.Revision
+	keeper.authority.Confirm(table, at)
+	return nil
+}
+
+func (keeper *Keeper) runList(ctx context.Context) {
+	for ctx.Err() == nil {
+		keeper.readList(ctx)
+		pause(ctx, listPeriod)
+	}
+}
+
+func (keeper *Keeper) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := time.Now()
+	membership, err := keeper.list.ListService(ctx, keeper.settings.Instance.Service)
+	if err != nil {
+		return
+	}
+	keeper.mutex.Lock()
+	keeper.listed = membership.Instances
+	if own, ok := membership.Find(keeper.settings.Instance.ID); ok && own.Incarnation == keeper.settings.Instance.Incarnation {
+		keeper.authority.Extend(sent.Add(-keeper.settings.ListLag))
+	}
+	stopping := keeper.stopping
+	keeper.mutex.Unlock()
+	if !stopping {
+		keeper.assign(ctx, membership)
+	}
+}
+
+// assign gives shards whose home is no longer listed to instances that are.
+func (keeper *Keeper) assign(ctx context.Context, membership cranberryward.Membership) {
+	keeper.mutex.Lock()
+	table, revision := keeper.authority.Table(), keeper.revision
+	keeper.mutex.Unlock()
+	absent := func(id string) bool {
+		_, listed := membership.Find(id)
+		return !listed
+	}
+	next, changed := deduplicator.Assign(table, membership.Instances, absent, time.Now(), keeper.settings.Lifetime+keeper.settings.ClockError)
+	if !changed {
+		return
+	}
+	next.Service = keeper.settings.Instance.Service
+	if err := keeper.swap(ctx, next, revision); err == nil {
+		_ = keeper.logger.Log("event", "key_homes_assigned", "service", next.Service, "epoch", next.Epoch)
+	}
+}
+
+func (keeper *Keeper) swap(ctx context.Context, table deduplicator.Table, revision uint64) error {
+	value, err := json.Marshal(table)
+	if err != nil {
+		return eris.Wrap(err, "encode table of key homes")
+	}
+	sent := time.Now()
+	record, err := keeper.store.CompareAndSwap(ctx, keeper.key(), value, revision, "")
+	if err != nil {
+		return err
+	}
+	return keeper.take(record, sent)
+}
+
+// Successor returns the listed instance that takes over this instance's shards, and false when there is none.
+func (keeper *Keeper) Successor() (cranberryward.Instance, bool) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	counts := map[string]int{}
+	for _, home := range keeper.authority.Table().Homes {
+		counts[home.Instance]++
+	}
+	var best cranberryward.Instance
+	found := false
+	for _, instance := range keeper.listed {
+		if instance.ID == keeper.settings.Instance.ID || instance.Leaving {
+			continue
+		}
+		if !found || counts[instance.ID] < counts[best.ID] {
+			best, found = instance, true
+		}
+	}
+	return best, found
+}
+
+// Close stops admitting keys at once.
+func (keeper *Keeper) Close() {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.stopping = true
+}
+
+// OwnsAny returns whether this instance is the home of any shard.
+func (keeper *Keeper) OwnsAny() bool {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	for shard := range deduplicator.ShardCount {
+		if keeper.authority.Owns(shard) {
+			return true
+		}
+	}
+	return false
+}
+
+func (keeper *Keeper) waited(shard int) bool {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.authority.Waited(shard, time.Now())
+}
+
+// HandOver makes the successor, which has taken over the memory, the home of this instance's shards.
+func (keeper *Keeper) HandOver(ctx context.Context, successor cranberryward.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	for {
+		keeper.mutex.Lock()
+		table, revision := keeper.authority.Table(), keeper.revision
+		keeper.mutex.Unlock()
+		next, changed := deduplicator.HandOver(table, keeper.settings.Instance.ID, successor, keeper.waited)
+		if !changed {
+			return nil
+		}
+		err := keeper.swap(ctx, next, revision)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, retryDelay)
+		_ = keeper.follow(ctx)
+	}
+}
--- /dev/null
+++ b/agent/server/drain.go
@@ -0,0 +1,167 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/charter"
+	"github.com/cranberryward/cranberryward/messenger"
+	"github.com/go-kit/log"
+)
+
+const (
+	eventLeave     = charter.Event("leave")
+	eventReturn    = charter.Event("return")
+	eventStop      = charter.Event("stop")
+	eventEmpty     = charter.Event("empty")
+	eventTimeLimit = charter.Event("time_limit")
+
+	leavingPoll      = 250 * time.Millisecond
+	handOverTimeout  = 2 * time.Second
+	deregisterWithin = time.Second
+)
+
+var drainChart = charter.MustLoad("drain", eventLeave, eventReturn, eventStop, eventEmpty, eventTimeLimit)
+
+// drain counts the requests in progress and refuses new ones while the backend server is leaving or the agent is stopping.
+type drain struct {
+	logger   log.Logger
+	mutex    sync.Mutex
+	machine  charter.Machine
+	inFlight int
+	stopping bool
+	refusing chan struct{}
+	empty    chan struct{}
+}
+
+func newDrain(logger log.Logger) *drain {
+	return &drain{
+		logger:   logger,
+		machine:  drainChart.Start(),
+		refusing: make(chan struct{}),
+		empty:    make(chan struct{}),
+	}
+}
+
+func (drain *drain) fire(event charter.Event) {
+	if err := drain.machine.Fire(event); err != nil {
+		_ = drain.logger.Log("event", "state_fault", "error", err)
+		return
+	}
+	_ = drain.logger.Log("event", "drain", "cause", event, "state", drain.machine.State(), "in_flight", drain.inFlight)
+}
+
+// enter admits a request or refuses it as not run.
+func (drain *drain) enter() (refusing <-chan struct{}, err error) {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	if drain.machine.State() != "serving" {
+		return nil, drain.refusal()
+	}
+	drain.inFlight++
+	return drain.refusing, nil
+}
+
+func (drain *drain) refusal() error {
+	reason := cranberryward.ReasonLeaving
+	if drain.stopping {
+		reason = cranberryward.ReasonStopping
+	}
+	return cranberryward.NewFailure(cranberryward.NotRun, reason, "the backend server takes no new work")
+}
+
+func (drain *drain) leave() {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	drain.inFlight--
+	if drain.stopping && drain.inFlight == 0 {
+		close(drain.empty)
+	}
+}
+
+func (drain *drain) setLeaving(leaving bool) {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	serving := drain.machine.State() == "serving"
+	switch {
+	case leaving && serving:
+		drain.fire(eventLeave)
+		close(drain.refusing)
+	case !leaving && !serving && !drain.stopping:
+		drain.fire(eventReturn)
+		drain.refusing = make(chan struct{})
+	}
+}
+
+// stop refuses new requests and waits for those in progress until the context ends.
+func (drain *drain) stop(ctx context.Context) {
+	drain.mutex.Lock()
+	if drain.machine.State() == "serving" {
+		close(drain.refusing)
+	}
+	drain.stopping = true
+	drain.fire(eventStop)
+	idle := drain.inFlight == 0
+	drain.mutex.Unlock()
+	event := eventEmpty
+	if !idle {
+		select {
+		case <-drain.empty:
+		case <-ctx.Done():
+			event = eventTimeLimit
+		}
+	}
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	drain.fire(event)
+}
+
+// watchLeaving follows the sheet, the corrections and the instance list.
+func (agent *agent) watchLeaving(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := agent.holder.Changed()
+		listed, _ := agent.holder.Membership().Find(agent.instance.ID)
+		agent.drain.setLeaving(agent.holder.Effect().Leaving(agent.instance.ID) || listed.Leaving)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(leavingPoll):
+		}
+	}
+}
+
+func (agent *agent) stop(ctx context.Context) {
+	if agent.keeper != nil {
+		agent.keeper.Close()
+	}
+	agent.drain.stop(ctx)
+	if agent.keeper != nil {
+		agent.handOver()
+	}
+	deregister, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterWithin)
+	defer cancel()
+	_ = agent.list.Deregister(deregister, agent.instance.ID)
+	_ = agent.requests.Stop(ctx)
+	agent.peers.Stop()
+	_ = agent.logger.Log("event", "stopped")
+}
+
+// handOver gives the memory of keys to the successor before it becomes their home.
+func (agent *agent) handOver() {
+	successor, found := agent.keeper.Successor()
+	if !found || !agent.keeper.OwnsAny() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	var reply messenger.AdoptReply
+	err := agent.client.Call(ctx, successor.PeerAddress, "Agent.Adopt", messenger.AdoptRequest{
+		Entries: agent.memory.Export(func(int) bool { return true }),
+	}, &reply)
+	if err == nil {
+		err = agent.keeper.HandOver(ctx, successor)
+	}
+	_ = agent.logger.Log("event", "keys_handed_over", "to", successor.ID, "keys", agent.memory.Len(), "error", err)
+}
--- /dev/null
+++ b/agent/server/http.go
@@ -0,0 +1,223 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/messenger"
+	"github.com/cranberryward/cranberryward/quarantiner"
+	"github.com/gorilla/mux"
+)
+
+const (
+	cancelTimeout   = 2 * time.Second
+	defaultDeadline = 60 * time.Second
+)
+
+func (agent *agent) handler() http.Handler {
+	router := mux.NewRouter()
+	router.Use(agent.authenticate)
+	router.HandleFunc("/run/generate", agent.handleGenerate).Methods(http.MethodPost)
+	router.HandleFunc("/run/streams/{id}", agent.handleResume).Methods(http.MethodGet)
+	router.HandleFunc("/run/streams/{id}", agent.handleCancel).Methods(http.MethodDelete)
+	router.HandleFunc("/run/service", agent.handleService).Methods(http.MethodPost)
+	return router
+}
+
+func (agent *agent) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		id := request.Header.Get(cranberryward.HeaderRequestID)
+		if !caller.Verify(agent.settings.SharedKey, id, request.Header.Get(cranberryward.HeaderPeer)) {
+			listener.WriteError(writer, id, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnauthorized,
+				"the sender does not prove the shared key").WithResend(false))
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (agent *agent) load() messenger.Load {
+	inFlight, queued, limit := agent.gate.Load()
+	return messenger.Load{
+		InFlight:     inFlight,
+		Queued:       queued,
+		Limit:        limit,
+		PrefillBytes: int(agent.prefill.Load()),
+	}
+}
+
+func (agent *agent) within(request *http.Request, deadlineMS int64) (context.Context, context.CancelFunc) {
+	limit := defaultDeadline
+	if deadlineMS > 0 {
+		limit = time.Duration(deadlineMS) * time.Millisecond
+	}
+	return context.WithTimeout(request.Context(), limit)
+}
+
+func (agent *agent) handleGenerate(writer http.ResponseWriter, request *http.Request) {
+	var generate cranberryward.GenerateRequest
+	if err := listener.ReadJSON(writer, request, int64(agent.settings.MaxBody), &generate); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	ctx, cancel := agent.within(request, generate.DeadlineMS)
+	defer cancel()
+	sender := newFrameSender(writer, agent.load)
+	err := agent.generate(ctx, generate, sender.send)
+	agent.logRequest(generate.RequestID, generate.Workspace, request, err)
+	sender.finish(generate.RequestID, err)
+}
+
+func (agent *agent) logRequest(id, workspace string, request *http.Request, err error) {
+	load := agent.load()
+	_ = agent.logger.Log("event", "request", "request_id", id, "workspace", workspace, "verdict", cranberryward.VerdictOf(err),
+		"in_flight", load.InFlight, "queued", load.Queued, "limit", load.Limit, "revision", agent.holder.Revision(),
+		"sender_revision", request.Header.Get(cranberryward.HeaderRevision), "error", err)
+}
+
+func (agent *agent) generate(ctx context.Context, generate cranberryward.GenerateRequest, send func(cranberryward.Frame) error) error {
+	if agent.engine == nil {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "the backend server is not a model engine")
+	}
+	if err := agent.permits(generate); err != nil {
+		return err
+	}
+	admission, err := agent.admit(ctx, admissionRequest{
+		workspace:   generate.Workspace,
+		priority:    generate.Priority,
+		fingerprint: quarantiner.Fingerprint(generate.Workspace, generate.Model, generate.Prompt),
+		prompt:      len(generate.Prompt),
+	})
+	if err != nil {
+		return err
+	}
+	defer admission.leave()
+	started := false
+	err = agent.engine.Generate(ctx, generate, func(frame cranberryward.Frame) error {
+		if !started {
+			started = true
+			admission.pass.FirstAnswer()
+		}
+		return send(frame)
+	})
+	if err == nil {
+		return nil
+	}
+	return admission.failed(ctx, err)
+}
+
+// permits refuses a model version that the sheet does not allow for this group.
+func (agent *agent) permits(generate cranberryward.GenerateRequest) error {
+	versions, restricted := agent.holder.Effect().Versions(agent.instance.Group)
+	if !restricted || generate.Version == "" {
+		return nil
+	}
+	for _, version := range versions {
+		if version == generate.Version {
+			return nil
+		}
+	}
+	return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNotFound,
+		"the group may not run model version "+generate.Version).WithResend(false)
+}
+
+func (agent *agent) handleResume(writer http.ResponseWriter, request *http.Request) {
+	id := mux.Vars(request)["id"]
+	offset, err := strconv.Atoi(request.URL.Query().Get("offset"))
+	if err != nil || agent.engine == nil {
+		listener.WriteError(writer, id, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "offset: expected a whole number"))
+		return
+	}
+	sender := newFrameSender(writer, agent.load)
+	err = agent.engine.Resume(request.Context(), id, offset, sender.send)
+	sender.finish(id, err)
+}
+
+func (agent *agent) handleCancel(writer http.ResponseWriter, request *http.Request) {
+	id := mux.Vars(request)["id"]
+	ctx, cancel := context.WithTimeout(request.Context(), cancelTimeout)
+	defer cancel()
+	if agent.engine == nil {
+		listener.WriteJSON(writer, http.StatusOK, struct{}{})
+		return
+	}
+	if err := agent.engine.Cancel(ctx, id); err != nil {
+		listener.WriteError(writer, id, err)
+		return
+	}
+	_ = agent.logger.Log("event", "canceled", "request_id", id)
+	listener.WriteJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (agent *agent) handleService(writer http.ResponseWriter, request *http.Request) {
+	var call cranberryward.ServiceCall
+	if err := listener.ReadJSON(writer, request, 2*int64(agent.settings.MaxBody), &call); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	if agent.service == nil {
+		listener.WriteError(writer, call.RequestID, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "the backend server is not a plain service"))
+		return
+	}
+	deadline, _ := strconv.ParseInt(request.Header.Get(cranberryward.HeaderDeadline), 10, 64)
+	priority, _ := strconv.Atoi(request.Header.Get(cranberryward.HeaderPriority))
+	ctx, cancel := agent.within(request, deadline)
+	defer cancel()
+	answer, err := agent.callService(ctx, call, priority)
+	agent.logRequest(call.RequestID, call.Workspace, request, err)
+	writer.Header().Set(cranberryward.HeaderLoad, messenger.EncodeLoad(agent.load()))
+	if err != nil {
+		listener.WriteError(writer, call.RequestID, err)
+		return
+	}
+	listener.WriteJSON(writer, http.StatusOK, answer)
+}
+
+// frameSender writes frames as lines of JSON and tells a failure after the first frame in a last one.
+type frameSender struct {
+	writer  http.ResponseWriter
+	load    func() messenger.Load
+	encoder *json.Encoder
+	started bool
+}
+
+func newFrameSender(writer http.ResponseWriter, load func() messenger.Load) *frameSender {
+	return &frameSender{
+		writer:  writer,
+		load:    load,
+		encoder: json.NewEncoder(writer),
+	}
+}
+
+func (frameSender *frameSender) send(frame cranberryward.Frame) error {
+	if !frameSender.started {
+		frameSender.started = true
+		frameSender.writer.Header().Set("Content-Type", "application/x-ndjson")
+		frameSender.writer.Header().Set(cranberryward.HeaderLoad, messenger.EncodeLoad(frameSender.load()))
+	}
+	if err := frameSender.encoder.Encode(frame); err != nil {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonCanceled, "the receiver went away").WithCause(err)
+	}
+	return http.NewResponseController(frameSender.writer).Flush()
+}
+
+func (frameSender *frameSender) finish(requestID string, err error) {
+	switch {
+	case err == nil:
+	case frameSender.started:
+		detail := cranberryward.NewErrorMessage(err, requestID).Error
+		_ = frameSender.encoder.Encode(cranberryward.Frame{
+			RequestID: requestID,
+			Error:     &detail,
+		})
+	default:
+		frameSender.writer.Header().Set(cranberryward.HeaderLoad, messenger.EncodeLoad(frameSender.load()))
+		listener.WriteError(frameSender.writer, requestID, err)
+	}
+}
--- /dev/null
+++ b/agent/server/ports.go
@@ -0,0 +1,98 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/messenger"
+	"github.com/cranberryward/cranberryward/switcher"
+)
+
+const (
+	maintainPeriod  = 200 * time.Millisecond
+	restoreDeadline = 30 * time.Second
+)
+
+// ownPort reaches the rank beside this agent.
+type ownPort struct {
+	agent *agent
+}
+
+var _ switcher.Port = ownPort{}
+
+// State returns the present state of the rank.
+func (ownPort ownPort) State(ctx context.Context) (cranberryward.RankState, error) {
+	return ownPort.agent.engine.RankState(ctx)
+}
+
+// Map returns an expert map that the rank holds.
+func (ownPort ownPort) Map(ctx context.Context, version uint64) (cranberryward.ExpertMap, error) {
+	return ownPort.agent.engine.Map(ctx, version)
+}
+
+// Order carries out an order at the rank.
+func (ownPort ownPort) Order(ctx context.Context, order cranberryward.Order) error {
+	return ownPort.agent.guard.Order(ctx, switcher.Envelope{
+		Order:    order,
+		Recovery: order.Kind == cranberryward.OrderPrepare,
+	})
+}
+
+// agentPort reaches a rank through the agent beside it.
+type agentPort struct {
+	client   *caller.Client
+	instance cranberryward.Instance
+}
+
+var _ switcher.Port = agentPort{}
+
+// State returns the present state of the rank.
+func (agentPort agentPort) State(ctx context.Context) (state cranberryward.RankState, err error) {
+	err = agentPort.client.Call(ctx, agentPort.instance.PeerAddress, "Agent.State", messenger.StateRequest{}, &state)
+	return state, err
+}
+
+// Map returns an expert map that the rank holds.
+func (agentPort agentPort) Map(ctx context.Context, version uint64) (expertMap cranberryward.ExpertMap, err error) {
+	err = agentPort.client.Call(ctx, agentPort.instance.PeerAddress, "Agent.Map", messenger.MapRequest{Version: version}, &expertMap)
+	return expertMap, err
+}
+
+// Order carries out an order at the rank.
+func (agentPort agentPort) Order(ctx context.Context, order cranberryward.Order) error {
+	var reply messenger.OrderReply
+	return agentPort.client.Call(ctx, agentPort.instance.PeerAddress, "Agent.Order", switcher.Envelope{
+		Order:       order,
+		Incarnation: agentPort.instance.Incarnation,
+		Recovery:    order.Kind == cranberryward.OrderPrepare,
+	}, &reply)
+}
+
+func (agent *agent) ports() []switcher.Port {
+	var ports []switcher.Port
+	for _, instance := range switcher.GroupRanks(agent.holder.Membership(), agent.instance.Group) {
+		if instance.ID == agent.instance.ID {
+			ports = append(ports, ownPort{agent: agent})
+			continue
+		}
+		ports = append(ports, agentPort{
+			client:   agent.client,
+			instance: instance,
+		})
+	}
+	return ports
+}
+
+// maintain releases a group that an earlier life of this agent left held and gives ranks that restarted with nothing their expert map.
+func (agent *agent) maintain(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, err := agent.switcher.Resolve(ctx); err == nil {
+			restore, cancel := context.WithTimeout(ctx, restoreDeadline)
+			_ = agent.switcher.RestoreRanks(restore)
+			cancel()
+		}
+		pause(ctx, maintainPeriod)
+	}
+}
--- /dev/null
+++ b/agent/server/server.go
@@ -0,0 +1,252 @@
+package server
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/agent/guard"
+	"github.com/cranberryward/cranberryward/agent/homekeeper"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/deduplicator"
+	"github.com/cranberryward/cranberryward/dialer"
+	"github.com/cranberryward/cranberryward/distributor"
+	"github.com/cranberryward/cranberryward/limiter"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/quarantiner"
+	"github.com/cranberryward/cranberryward/switcher"
+	"github.com/go-kit/log"
+	"go.uber.org/fx"
+)
+
+const (
+	startTimeout   = 10 * time.Second
+	registerPeriod = 500 * time.Millisecond
+	startLimit     = 16
+	minimumLimit   = 2
+	maximumLimit   = 512
+)
+
+// Server is a running agent.
+type Server struct {
+	app       *fx.App
+	agent     *agent
+	settings  Settings
+	cancel    context.CancelFunc
+	stopLimit time.Duration
+}
+
+type agent struct {
+	settings    Settings
+	instance    cranberryward.Instance
+	logger      log.Logger
+	engine      cranberryward.Engine
+	service     cranberryward.Service
+	store       cranberryward.KeyValueStore
+	list        cranberryward.InstanceList
+	holder      *distributor.Holder
+	follower    *distributor.Follower
+	client      *caller.Client
+	gate        *limiter.Gate
+	suspects    *quarantiner.Suspects
+	guard       *guard.Guard
+	switcher    *switcher.Switcher
+	memory      *deduplicator.Memory
+	keeper      *homekeeper.Keeper
+	claims      claims
+	drain       *drain
+	prefill     atomic.Int64
+	requests    *listener.Server
+	peers       *caller.Server
+	background  context.Context
+	incarnation atomic.Value
+}
+
+// New returns an agent that Start brings up.
+func New(settings Settings, logger log.Logger) *Server {
+	background, cancel := context.WithCancel(context.Background())
+	server := &Server{
+		settings:  settings,
+		cancel:    cancel,
+		stopLimit: settings.StopLimit,
+	}
+	server.app = fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.Supply(settings),
+		fx.Provide(
+			func() log.Logger { return logger },
+			func() context.Context { return background },
+			provideInstance,
+			provideStore,
+			provideList,
+			distributor.NewHolder,
+			provideClient,
+			newAgent,
+		),
+		fx.Invoke(start),
+		fx.Populate(&server.agent),
+	)
+	return server
+}
+
+func provideInstance(settings Settings) cranberryward.Instance { return settings.instance() }
+
+func provideStore(settings Settings) cranberryward.KeyValueStore {
+	return dialer.NewKeyValueStore(settings.KeyValue)
+}
+
+func provideList(settings Settings) cranberryward.InstanceList {
+	return dialer.NewInstanceList(settings.InstanceList)
+}
+
+func provideClient(settings Settings) *caller.Client { return caller.NewClient(settings.SharedKey) }
+
+func newAgent(settings Settings, instance cranberryward.Instance, store cranberryward.KeyValueStore, list cranberryward.InstanceList,
+	holder *distributor.Holder, client *caller.Client, background context.Context, logger log.Logger) *agent {
+	agent := &agent{
+		settings:   settings,
+		instance:   instance,
+		logger:     logger,
+		store:      store,
+		list:       list,
+		holder:     holder,
+		client:     client,
+		background: background,
+		gate:       limiter.NewGate(limiter.NewConcurrency(startLimit, minimumLimit, maximumLimit), settings.QueueLength),
+		suspects:   &quarantiner.Suspects{},
+		memory:     deduplicator.NewMemory(settings.KeyCapacity, settings.KeyRetention),
+		drain:      newDrain(logger),
+	}
+	agent.follower = distributor.NewFollower(distributor.FollowerSettings{
+		ID:      instance.ID,
+		Zone:    instance.Zone,
+		Holder:  holder,
+		Service: distributor.NewService(instance.Zone, holder),
+		Store:   store,
+		List:    list,
+		Client:  client,
+		Logger:  logger,
+	})
+	if instance.Role == cranberryward.RoleEngine {
+		agent.addEngine()
+	} else {
+		agent.addService()
+	}
+	return agent
+}
+
+func (agent *agent) addEngine() {
+	agent.engine = dialer.NewEngine(agent.settings.Backend)
+	agent.guard = guard.New(agent.engine, agent.holder, agent.instance.Zone, agent.instance.Incarnation, guard.Limits{
+		MaxAge:     agent.settings.MaxAge,
+		HoldBound:  agent.settings.HoldBound,
+		ClockError: agent.settings.ClockError,
+	}, agent.logger)
+	agent.switcher = switcher.New(agent.instance.Group, agent.ports, agent.logger)
+}
+
+func (agent *agent) addService() {
+	agent.service = dialer.NewService(agent.settings.Backend)
+	agent.keeper = homekeeper.New(homekeeper.Settings{
+		Instance:   agent.instance,
+		Lifetime:   agent.settings.HomeLifetime,
+		ListLag:    agent.settings.ListLag,
+		ClockError: agent.settings.ClockError,
+	}, agent.store, agent.list, agent.logger)
+	agent.claims = claims{
+		store:       agent.store,
+		service:     agent.instance.Service,
+		incarnation: agent.instance.Incarnation,
+		retention:   agent.settings.KeyRetention,
+	}
+}
+
+func start(lifecycle fx.Lifecycle, agent *agent) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return agent.start() },
+	})
+}
+
+func (agent *agent) start() error {
+	requests, err := listener.New(agent.settings.Listen, agent.handler())
+	if err != nil {
+		return err
+	}
+	agent.requests = requests
+	agent.peers, err = caller.NewServer(agent.settings.PeerListen, agent.settings.SharedKey)
+	if err != nil {
+		return err
+	}
+	if err := agent.peers.Register("Agent", &Peer{agent: agent}); err != nil {
+		return err
+	}
+	agent.peers.Start()
+	requests.Start()
+	go agent.follower.Run(agent.background)
+	go agent.register(agent.background)
+	go agent.watchLeaving(agent.background)
+	if agent.keeper != nil {
+		go agent.keeper.Run(agent.background)
+	}
+	if agent.engine != nil {
+		go agent.watchEngine(agent.background)
+	}
+	if agent.switcher != nil && agent.instance.Rank == 0 {
+		go agent.maintain(agent.background)
+	}
+	_ = agent.logger.Log("event", "started", "listen", agent.settings.Listen, "peer_listen", agent.settings.PeerListen,
+		"backend", agent.settings.Backend, "incarnation", agent.instance.Incarnation)
+	return nil
+}
+
+// register adds this life of the instance to the platform's list, trying until the list answers.
+func (agent *agent) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, registerPeriod*4)
+		err := agent.list.Register(attempt, agent.instance)
+		cancel()
+		if err == nil {
+			return
+		}
+		pause(ctx, registerPeriod)
+	}
+}
+
+func pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+// Start brings the agent up.
+func (server *Server) Start(ctx context.Context) error { return server.app.Start(ctx) }
+
+// Stop drains the agent, hands over what it keeps and ends, at the latest after the stop limit.
+func (server *Server) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, server.stopLimit)
+	defer cancel()
+	server.agent.stop(ctx)
+	server.cancel()
+	return server.app.Stop(context.WithoutCancel(ctx))
+}
+
+// Kill ends the agent at once, as a crash would.
+func (server *Server) Kill() {
+	server.cancel()
+	server.agent.requests.Kill()
+	server.agent.peers.Stop()
+	server.agent.client.Close()
+}
+
+// Instance returns the row under which the agent is listed.
+func (server *Server) Instance() cranberryward.Instance { return server.agent.instance }
+
+// ControlTraffic returns the bytes of control messages received and sent since the start.
+func (server *Server) ControlTraffic() (received, sent int64) {
+	received, sent = server.agent.peers.Traffic()
+	moreReceived, moreSent := server.agent.client.Traffic()
+	return received + moreReceived, sent + moreSent
+}
--- /dev/null
+++ b/agent/server/settings.go
@@ -0,0 +1,97 @@
+package server
+
+import (
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/loader"
+	"github.com/oklog/ulid/v2"
+)
+
+// Settings are the effective settings of an agent.
+type Settings struct {
+	ID           string        `json:"id"`
+	Zone         string        `json:"zone"`
+	Role         string        `json:"role"`
+	Listen       string        `json:"listen"`
+	PeerListen   string        `json:"peer_listen"`
+	Backend      string        `json:"backend"`
+	Group        string        `json:"group"`
+	Rank         int           `json:"rank"`
+	Service      string        `json:"service"`
+	Model        string        `json:"model"`
+	KeyValue     string        `json:"key_value"`
+	InstanceList string        `json:"instance_list"`
+	SharedKey    string        `json:"-"`
+	LogLevel     string        `json:"log_level"`
+	MaxBody      int           `json:"max_body"`
+	QueueLength  int           `json:"queue_length"`
+	LeavingBound time.Duration `json:"leaving_bound"`
+	HoldBound    time.Duration `json:"hold_bound"`
+	MaxAge       time.Duration `json:"max_age"`
+	ClockError   time.Duration `json:"clock_error"`
+	HomeLifetime time.Duration `json:"home_lifetime"`
+	ListLag      time.Duration `json:"list_lag"`
+	KeyRetention time.Duration `json:"key_retention"`
+	KeyCapacity  int           `json:"key_capacity"`
+	StopLimit    time.Duration `json:"stop_limit"`
+	MaxCrashes   int           `json:"max_crashes"`
+	ServiceLimit time.Duration `json:"service_limit"`
+}
+
+// Defaults returns settings with every default in place.
+func Defaults() Settings {
+	var settings Settings
+	_ = settings.Loader().Load(nil, func(string) (string, bool) { return "", false })
+	return settings
+}
+
+// Loader returns a loader that fills the settings from flags and environment variables.
+func (settings *Settings) Loader() *loader.Loader {
+	agent := loader.New("agent", "Stands beside one backend server and admits requests and orders to it.", cranberryward.Version)
+	agent.Required(&settings.ID, "id", "Name of this instance, as in the instance list")
+	agent.Required(&settings.Zone, "zone", "Availability zone of this instance")
+	agent.Choice(&settings.Role, "role", "engine", "What the backend server runs", "engine", "service")
+	agent.Address(&settings.Listen, "listen", "127.0.0.1:7301", "Address for requests from entries")
+	agent.Address(&settings.PeerListen, "peer-listen", "127.0.0.1:7302", "Address for calls from the project's processes")
+	agent.Address(&settings.Backend, "backend", "127.0.0.1:7401", "Address of the backend server")
+	agent.Text(&settings.Group, "group", "", "Lock-step group of the engine")
+	agent.Number(&settings.Rank, "rank", 0, 0, 4095, "rank", "Rank of the engine within its group")
+	agent.Text(&settings.Service, "service", "", "Name of the plain service")
+	agent.Text(&settings.Model, "model", "", "Model that the engine runs")
+	agent.Address(&settings.KeyValue, "key-value", "127.0.0.1:7101", "Address of the platform's key-value service")
+	agent.Address(&settings.InstanceList, "instance-list", "127.0.0.1:7102", "Address of the platform's instance list")
+	agent.Secret(&settings.SharedKey, "shared-key", "Key that the deployment's processes prove to each other")
+	agent.Choice(&settings.LogLevel, "log-level", "info", "Lowest level of log lines", "debug", "info", "warn", "error")
+	agent.Number(&settings.MaxBody, "max-body", 1<<20, 1<<10, 64<<20, "bytes", "Longest request body")
+	agent.Number(&settings.QueueLength, "queue-length", 256, 1, 100000, "requests", "Most requests that wait for the backend server")
+	agent.Duration(&settings.LeavingBound, "leaving-bound", 3*time.Second, 0, time.Minute, "Time after which a leaving backend server takes no new work")
+	agent.Duration(&settings.HoldBound, "hold-bound", 2*time.Second, 50*time.Millisecond, time.Minute, "Longest time that a group is held at a step boundary")
+	agent.Duration(&settings.MaxAge, "max-age", 5*time.Second, time.Second, time.Minute, "Oldest confirmation of the configuration that allows a disruptive act")
+	agent.Duration(&settings.ClockError, "clock-error", time.Second, 0, time.Minute, "Largest difference between clocks of instances")
+	agent.Duration(&settings.HomeLifetime, "home-lifetime", 8*time.Second, time.Second, time.Hour, "Time that a key home acts without confirming that it still is")
+	agent.Duration(&settings.ListLag, "list-lag", 3*time.Second, 0, time.Minute, "Largest lag of the instance list")
+	agent.Duration(&settings.KeyRetention, "key-retention", 24*time.Hour, time.Minute, 240*time.Hour, "Time that an idempotency key is remembered")
+	agent.Number(&settings.KeyCapacity, "key-capacity", 200000, 1, 10000000, "keys", "Most idempotency keys remembered")
+	agent.Duration(&settings.StopLimit, "stop-limit", 30*time.Second, 0, time.Hour, "Longest wait for requests in progress at a planned stop")
+	agent.Number(&settings.MaxCrashes, "max-crashes", 2, 1, 100, "crashes", "Crashes after which a request is quarantined")
+	agent.Duration(&settings.ServiceLimit, "service-limit", 30*time.Second, time.Millisecond, time.Hour, "Longest time for one call of a plain service")
+	return agent
+}
+
+func (settings Settings) instance() cranberryward.Instance {
+	instance := cranberryward.Instance{
+		ID:          settings.ID,
+		Zone:        settings.Zone,
+		Role:        cranberryward.Role(settings.Role),
+		Address:     settings.Listen,
+		PeerAddress: settings.PeerListen,
+		Backend:     settings.Backend,
+		Group:       settings.Group,
+		Rank:        settings.Rank,
+		Service:     settings.Service,
+		Model:       settings.Model,
+		Incarnation: ulid.Make().String(),
+	}
+	return instance
+}
--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+const dialTimeout = time.Second
+
+// Client calls peers by address and keeps one connection to each.
+type Client struct {
+	key      string
+	mutex    sync.Mutex
+	peers    map[string]*rpc.Client
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+// NewClient returns a client that proves the shared key.
+func NewClient(key string) *Client {
+	return &Client{
+		key:   key,
+		peers: map[string]*rpc.Client{},
+	}
+}
+
+// Traffic returns the bytes received and sent since the start.
+func (client *Client) Traffic() (received, sent int64) {
+	return client.received.Load(), client.sent.Load()
+}
+
+// Call calls a method of the peer at the address and returns a failure that says whether the call may have run.
+func (client *Client) Call(ctx context.Context, address, method string, request, reply any) error {
+	peer, err := client.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := peer.Go(method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return client.outcome(address, peer, call.Error)
+	case <-ctx.Done():
+		// The reply is gob-decoded into memory the caller owns, so the connection must not outlive the wait.
+		client.drop(address, peer)
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonDeadline, "call of "+method+" was not answered in time").WithCause(ctx.Err())
+	}
+}
+
+func (client *Client) outcome(address string, peer *rpc.Client, err error) error {
+	if err == nil {
+		return nil
+	}
+	var answered rpc.ServerError
+	if errors.As(err, &answered) {
+		return decodeError(string(answered))
+	}
+	client.drop(address, peer)
+	verdict := cranberryward.MayHaveRun
+	if errors.Is(err, rpc.ErrShutdown) {
+		verdict = cranberryward.NotRun
+	}
+	return cranberryward.NewFailure(verdict, cranberryward.ReasonUnreachable, "connection to "+address+" broke").WithCause(err)
+}
+
+func (client *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	client.mutex.Lock()
+	peer := client.peers[address]
+	client.mutex.Unlock()
+	if peer != nil {
+		return peer, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		err = introduce(connection, client.key)
+	}
+	if err != nil {
+		if connection != nil {
+			_ = connection.Close()
+		}
+		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "no connection to "+address).WithCause(err)
+	}
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if other := client.peers[address]; other != nil {
+		_ = connection.Close()
+		return other, nil
+	}
+	peer = rpc.NewClient(&countingConn{
+		Conn:     connection,
+		received: &client.received,
+		sent:     &client.sent,
+	})
+	client.peers[address] = peer
+	return peer, nil
+}
+
+func (client *Client) drop(address string, peer *rpc.Client) {
+	client.mutex.Lock()
+	if client.peers[address] == peer {
+		delete(client.peers, address)
+	}
+	client.mutex.Unlock()
+	_ = peer.Close()
+}
+
+// Close closes every connection.
+func (client *Client) Close() {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	for address, peer := range client.peers {
+		_ = peer.Close()
+		delete(client.peers, address)
+	}
+}
+
+// EncodeError returns an error that keeps its verdict and reason through a call.
+func EncodeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	text, _ := json.Marshal(cranberryward.NewErrorMessage(err, ""))
+	return rpc.ServerError(text)
+}
+
+func decodeError(text string) error {
+	var message cranberryward.ErrorMessage
+	if json.Unmarshal([]byte(text), &message) == nil && message.Error.Code != "" {
+		return message.Failure()
+	}
+	return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonInternal, text)
+}
--- /dev/null
+++ b/caller/sign.go
@@ -0,0 +1,17 @@
+package caller
+
+import (
+	"crypto/hmac"
+	"encoding/hex"
+)
+
+// Sign returns the proof that the sender of a request knows the shared key.
+func Sign(key, requestID string) string {
+	return hex.EncodeToString(proof(key, []byte(requestID), "request"))
+}
+
+// Verify returns whether the proof was made with the shared key.
+func Verify(key, requestID, signature string) bool {
+	given, err := hex.DecodeString(signature)
+	return err == nil && hmac.Equal(given, proof(key, []byte(requestID), "request"))
+}
--- /dev/null
+++ b/charter/doc.go
@@ -0,0 +1,2 @@
+// Package charter interprets the state charts that the processes follow.
+package charter
--- /dev/null
+++ b/configurer/log.go
@@ -0,0 +1,288 @@
+package configurer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	headKey          = "config/head"
+	snapshotKey      = "config/snapshot"
+	sheetKeyPrefix   = "config/sheet/"
+	maxTailEntries   = 32
+	appendRetryDelay = 50 * time.Millisecond
+	callTimeout      = 2 * time.Second
+)
+
+type head struct {
+	Revision uint64                             `json:"revision"`
+	Tail     []cranberryward.ConfigurationEntry `json:"tail"`
+}
+
+// Log is the log of accepted submissions, whose head is moved by compare-and-swap.
+type Log struct {
+	store cranberryward.KeyValueStore
+}
+
+// NewLog returns the log kept in the store.
+func NewLog(store cranberryward.KeyValueStore) *Log {
+	return &Log{
+		store: store,
+	}
+}
+
+// Update is what a reader of the log learned.
+type Update struct {
+	configuration cranberryward.Configuration
+	entries       []cranberryward.ConfigurationEntry
+	cursor        uint64
+}
+
+// Configuration returns the state after the last entry of the log.
+func (update Update) Configuration() cranberryward.Configuration { return update.configuration }
+
+// Entries returns the entries that were applied, empty when a snapshot was taken instead.
+func (update Update) Entries() []cranberryward.ConfigurationEntry { return update.entries }
+
+// Cursor returns the store's revision of the head, to be passed to the next call of Follow.
+func (update Update) Cursor() uint64 { return update.cursor }
+
+// Follow waits for a head newer than the cursor and returns the configuration brought up to date.
+func (log *Log) Follow(ctx context.Context, present cranberryward.Configuration, cursor uint64, wait time.Duration) (Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	record, err := log.store.Watch(ctx, headKey, cursor, wait)
+	if err != nil {
+		return Update{}, err
+	}
+	return log.advance(ctx, present, record)
+}
+
+func (log *Log) advance(ctx context.Context, present cranberryward.Configuration, record cranberryward.Record) (Update, error) {
+	update := Update{
+		configuration: present,
+		cursor:        record.Revision,
+	}
+	if !record.Exists() {
+		return update, nil
+	}
+	var head head
+	if err := decode(record.Value, &head); err != nil {
+		return Update{}, err
+	}
+	if head.Revision <= present.Revision {
+		return update, nil
+	}
+	if len(head.Tail) == 0 || head.Tail[0].Revision > present.Revision+1 {
+		snapshot, _, err := log.snapshot(ctx)
+		if err != nil {
+			return Update{}, err
+		}
+		if snapshot.Revision > update.configuration.Revision {
+			update.configuration = snapshot
+		}
+	}
+	for _, entry := range head.Tail {
+		if entry.Revision != update.configuration.Revision+1 {
+			continue
+		}
+		full, err := log.complete(ctx, entry)
+		if err != nil {
+			return Update{}, err
+		}
+		update.configuration = Apply(update.configuration, full)
+		update.entries = append(update.entries, full)
+	}
+	if update.configuration.Revision != head.Revision {
+		return Update{}, eris.Errorf("configuration log is at revision %d but only %d could be read", head.Revision, update.configuration.Revision)
+	}
+	return update, nil
+}
+
+func (log *Log) snapshot(ctx context.Context) (configuration cranberryward.Configuration, revision uint64, err error) {
+	record, err := log.store.Get(ctx, snapshotKey)
+	if err != nil || !record.Exists() {
+		return configuration, 0, err
+	}
+	return configuration, record.Revision, decode(record.Value, &configuration)
+}
+
+func (log *Log) complete(ctx context.Context, entry cranberryward.ConfigurationEntry) (cranberryward.ConfigurationEntry, error) {
+	if entry.Submission.SheetKey == "" {
+		return entry, nil
+	}
+	record, err := log.store.Get(ctx, entry.Submission.SheetKey)
+	if err != nil {
+		return entry, err
+	}
+	var sheet cranberryward.Sheet
+	if err := decode(record.Value, &sheet); err != nil {
+		return entry, err
+	}
+	entry.Submission.Sheet = &sheet
+	return entry, nil
+}
+
+// Append adds a submission and returns the revision that it was accepted as, the earlier one for an id sent again.
+func (log *Log) Append(ctx context.Context, present cranberryward.Configuration, submission cranberryward.Submission) (uint64, error) {
+	if err := Validate(submission); err != nil {
+		return 0, err
+	}
+	mayBeKept := false
+	for {
+		revision, err := log.try(ctx, &present, submission)
+		if err == nil {
+			return revision, nil
+		}
+		failure := cranberryward.FailureOf(err)
+		retriable := failure.Reason() == cranberryward.ReasonStale || failure.Reason() == cranberryward.ReasonUnreachable ||
+			failure.Reason() == cranberryward.ReasonDeadline || failure.Reason() == cranberryward.ReasonOverloaded
+		mayBeKept = mayBeKept || failure.Verdict() == cranberryward.MayHaveRun
+		if !retriable {
+			return 0, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, unsettled(mayBeKept, submission.ID, err)
+		case <-time.After(appendRetryDelay):
+		}
+	}
+}
+
+func unsettled(mayBeKept bool, id string, cause error) error {
+	if mayBeKept {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonUnavailable,
+			"the submission may have been accepted; ask again with the id "+id).WithCause(cause).WithResend(true)
+	}
+	return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnavailable,
+		"the key-value service cannot be reached; the submission was not accepted").WithCause(cause)
+}
+
+func (log *Log) try(ctx context.Context, present *cranberryward.Configuration, submission cranberryward.Submission) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record, err := log.store.Get(ctx, headKey)
+	if err != nil {
+		return 0, readFailure(err)
+	}
+	update, err := log.advance(ctx, *present, record)
+	if err != nil {
+		return 0, readFailure(err)
+	}
+	*present = update.configuration
+	if revision := present.AcceptedRevision(submission.ID); revision != 0 {
+		return revision, nil
+	}
+	if err := Check(*present, submission); err != nil {
+		return 0, err
+	}
+	stored := submission
+	if submission.Sheet != nil {
+		stored.SheetKey = sheetKeyPrefix + submission.ID
+		stored.Sheet = nil
+		if err := log.keepSheet(ctx, stored.SheetKey, *submission.Sheet); err != nil {
+			return 0, readFailure(err)
+		}
+	}
+	entry := cranberryward.ConfigurationEntry{
+		Revision:   present.Revision + 1,
+		AcceptedAt: time.Now().UTC(),
+		Submission: stored,
+	}
+	return entry.Revision, log.moveHead(ctx, *present, record, entry)
+}
+
+// readFailure marks a failure before the head is moved as one that kept nothing.
+func readFailure(err error) error {
+	failure := cranberryward.FailureOf(err)
+	reason := failure.Reason()
+	if reason == cranberryward.ReasonInternal {
+		reason = cranberryward.ReasonUnreachable
+	}
+	return cranberryward.NewFailure(cranberryward.NotRun, reason, "key-value service").WithCause(err)
+}
+
+func (log *Log) keepSheet(ctx context.Context, key string, sheet cranberryward.Sheet) error {
+	value, err := encode(sheet)
+	if err != nil {
+		return err
+	}
+	record, err := log.store.CompareAndSwap(ctx, key, value, 0, "")
+	if err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonConflict && bytes.Equal(record.Value, value) {
+		return nil
+	}
+	return err
+}
+
+func (log *Log) moveHead(ctx context.Context, present cranberryward.Configuration, record cranberryward.Record, entry cranberryward.ConfigurationEntry) error {
+	var head head
+	if record.Exists() {
+		if err := decode(record.Value, &head); err != nil {
+			return err
+		}
+	}
+	if len(head.Tail) >= maxTailEntries {
+		if err := log.keepSnapshot(ctx, present); err != nil {
+			return readFailure(err)
+		}
+		head.Tail = head.Tail[len(head.Tail)-maxTailEntries/2:]
+	}
+	head.Revision = entry.Revision
+	head.Tail = append(head.Tail, entry)
+	value, err := encode(head)
+	if err != nil {
+		return err
+	}
+	_, err = log.store.CompareAndSwap(ctx, headKey, value, record.Revision, "")
+	if err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonConflict {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonStale, "the log moved on").WithCause(err)
+	}
+	return err
+}
+
+func (log *Log) keepSnapshot(ctx context.Context, present cranberryward.Configuration) error {
+	kept, revision, err := log.snapshot(ctx)
+	if err != nil || kept.Revision >= present.Revision {
+		return err
+	}
+	value, err := encode(present)
+	if err != nil {
+		return err
+	}
+	_, err = log.store.CompareAndSwap(ctx, snapshotKey, value, revision, "")
+	if err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonConflict {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonStale, "another process wrote the snapshot").WithCause(err)
+	}
+	return err
+}
+
+func encode(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if err := json.NewEncoder(writer).Encode(value); err != nil {
+		return nil, eris.Wrap(err, "encode configuration")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress configuration")
+	}
+	return buffer.Bytes(), nil
+}
+
+func decode(data []byte, value any) error {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(err, "decompress configuration")
+	}
+	text, err := io.ReadAll(reader)
+	if err != nil {
+		return eris.Wrap(err, "decompress configuration")
+	}
+	return eris.Wrap(json.Unmarshal(text, value), "decode configuration")
+}
--- /dev/null
+++ b/controller/record.go
@@ -0,0 +1,49 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	mapKeyPrefix   = "groups/"
+	mapKeySuffix   = "/map"
+	leaseKeySuffix = "/lease"
+
+	statePreparing = "preparing"
+	stateCommitted = "committed"
+)
+
+// Record is what the key-value service keeps of a group's expert map.
+type Record struct {
+	Version uint64                  `json:"version"`
+	State   string                  `json:"state"`
+	Fencing uint64                  `json:"fencing"`
+	Map     cranberryward.ExpertMap `json:"map"`
+}
+
+// LeaseKey returns the key of a group's lease.
+func LeaseKey(group string) string { return mapKeyPrefix + group + leaseKeySuffix }
+
+func mapKey(group string) string { return mapKeyPrefix + group + mapKeySuffix }
+
+// ReadRecord returns a group's record and its revision, zero when there is none.
+func ReadRecord(ctx context.Context, store cranberryward.KeyValueStore, group string) (record Record, revision uint64, err error) {
+	stored, err := store.Get(ctx, mapKey(group))
+	if err != nil || !stored.Exists() {
+		return record, 0, err
+	}
+	return record, stored.Revision, eris.Wrap(json.Unmarshal(stored.Value, &record), "decode group record")
+}
+
+func writeRecord(ctx context.Context, store cranberryward.KeyValueStore, group string, record Record, revision uint64) (uint64, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode group record")
+	}
+	stored, err := store.CompareAndSwap(ctx, mapKey(group), value, revision, "")
+	return stored.Revision, err
+}
--- /dev/null
+++ b/cranberryward/deployer/deployment.go
@@ -0,0 +1,337 @@
+package deployer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	agentserver "github.com/cranberryward/cranberryward/agent/server"
+	"github.com/cranberryward/cranberryward/dialer"
+	entryserver "github.com/cranberryward/cranberryward/entry/server"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/standin/engineserver"
+	"github.com/cranberryward/cranberryward/standin/keyvalueserver"
+	"github.com/cranberryward/cranberryward/standin/listserver"
+	"github.com/cranberryward/cranberryward/standin/serviceserver"
+	"github.com/cranberryward/cranberryward/standin/weightserver"
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	weightRate   = 64 << 20
+	sharedKey    = "local-deployment"
+	readyPoll    = 20 * time.Millisecond
+	readyTimeout = 20 * time.Second
+
+	// OperatorToken is the administration token of a local deployment.
+	OperatorToken = "local-operator"
+	// Model is the model that a local deployment serves.
+	Model = "assistant"
+	// ServiceName is the plain service of a local deployment.
+	ServiceName = "booking"
+)
+
+// Options describe the deployment to start.
+type Options struct {
+	Zones          []string                              `json:"zones"`
+	EntriesPerZone int                                   `json:"entries_per_zone"`
+	RanksPerZone   int                                   `json:"ranks_per_zone"`
+	PlanInterval   time.Duration                         `json:"plan_interval"`
+	Logger         log.Logger                            `json:"-"`
+	ChangeEntry    func(settings *entryserver.Settings)  `json:"-"`
+	ChangeAgent    func(settings *agentserver.Settings)  `json:"-"`
+	ChangeEngine   func(settings *engineserver.Settings) `json:"-"`
+}
+
+// DefaultOptions returns three zones with two entries and a group of four ranks each.
+func DefaultOptions() Options {
+	return Options{
+		Zones:          []string{"zone-a", "zone-b", "zone-c"},
+		EntriesPerZone: 2,
+		RanksPerZone:   4,
+		PlanInterval:   2 * time.Second,
+		Logger:         log.NewNopLogger(),
+	}
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	options    Options
+	cancel     context.CancelFunc
+	background context.Context
+	keyValue   *keyvalueserver.Server
+	list       *listserver.Server
+	weights    *weightserver.Server
+	keyValueAt string
+	listAt     string
+	weightsAt  string
+	servers    []*listener.Server
+	entries    []*entryserver.Server
+	agents     []*agentserver.Server
+	entryAt    []entryserver.Settings
+	agentAt    []agentserver.Settings
+	groups     []*engineserver.Group
+	services   []*serviceserver.Server
+}
+
+// Start starts a deployment and waits until every entry is ready.
+func Start(ctx context.Context, options Options) (*Deployment, error) {
+	background, cancel := context.WithCancel(context.Background())
+	deployment := &Deployment{
+		options:    options,
+		cancel:     cancel,
+		background: background,
+		keyValue:   keyvalueserver.New(),
+		list:       listserver.New(),
+		weights:    weightserver.New(weightRate),
+	}
+	if err := deployment.start(ctx); err != nil {
+		deployment.Stop(ctx)
+		return nil, err
+	}
+	return deployment, nil
+}
+
+func (deployment *Deployment) start(ctx context.Context) (err error) {
+	if deployment.keyValueAt, err = deployment.serve(deployment.keyValue.Handler()); err != nil {
+		return err
+	}
+	if deployment.listAt, err = deployment.serve(deployment.list.Handler()); err != nil {
+		return err
+	}
+	if deployment.weightsAt, err = deployment.serve(deployment.weights.Handler()); err != nil {
+		return err
+	}
+	for _, zone := range deployment.options.Zones {
+		if err := deployment.startZone(ctx, zone); err != nil {
+			return err
+		}
+	}
+	return deployment.AwaitReady(ctx)
+}
+
+func (deployment *Deployment) serve(handler http.Handler) (string, error) {
+	server, err := listener.New("127.0.0.1:0", handler)
+	if err != nil {
+		return "", err
+	}
+	server.Start()
+	deployment.servers = append(deployment.servers, server)
+	return server.Address(), nil
+}
+
+// FreeAddress returns a loopback address that was free a moment ago.
+func FreeAddress() (string, error) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "find a free address")
+	}
+	return held.Addr().String(), held.Close()
+}
+
+func freeAddresses(targets ...*string) error {
+	for _, target := range targets {
+		address, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		*target = address
+	}
+	return nil
+}
+
+func (deployment *Deployment) startZone(ctx context.Context, zone string) error {
+	for number := range deployment.options.EntriesPerZone {
+		if err := deployment.addEntry(ctx, zone, number); err != nil {
+			return err
+		}
+	}
+	if err := deployment.startGroup(ctx, zone); err != nil {
+		return err
+	}
+	return deployment.startService(ctx, zone)
+}
+
+func (deployment *Deployment) addEntry(ctx context.Context, zone string, number int) error {
+	settings := entryserver.Defaults()
+	settings.ID = fmt.Sprintf("%s-entry-%d", zone, number)
+	settings.Zone = zone
+	settings.KeyValue = deployment.keyValueAt
+	settings.InstanceList = deployment.listAt
+	settings.SharedKey = sharedKey
+	settings.PlanInterval = deployment.options.PlanInterval
+	settings.Tokens = []entryserver.Token{entryserver.NewToken(entryserver.RoleOperator, OperatorToken)}
+	settings.Services, _ = entryserver.ParseServices(ServiceName + "=GET:/")
+	settings.StopGrace = 0
+	if err := freeAddresses(&settings.Listen, &settings.AdminListen, &settings.PeerListen); err != nil {
+		return err
+	}
+	if deployment.options.ChangeEntry != nil {
+		deployment.options.ChangeEntry(&settings)
+	}
+	deployment.entryAt = append(deployment.entryAt, settings)
+	deployment.entries = append(deployment.entries, nil)
+	return deployment.StartEntry(ctx, len(deployment.entries)-1)
+}
+
+// StartEntry starts a new life of an entry at its earlier addresses.
+func (deployment *Deployment) StartEntry(ctx context.Context, number int) error {
+	deployment.entries[number] = entryserver.New(deployment.entryAt[number], deployment.options.Logger)
+	return deployment.entries[number].Start(ctx)
+}
+
+func (deployment *Deployment) addAgent(ctx context.Context, change func(settings *agentserver.Settings)) error {
+	settings := agentserver.Defaults()
+	settings.KeyValue = deployment.keyValueAt
+	settings.InstanceList = deployment.listAt
+	settings.SharedKey = sharedKey
+	change(&settings)
+	if err := freeAddresses(&settings.Listen, &settings.PeerListen); err != nil {
+		return err
+	}
+	if deployment.options.ChangeAgent != nil {
+		deployment.options.ChangeAgent(&settings)
+	}
+	deployment.agentAt = append(deployment.agentAt, settings)
+	deployment.agents = append(deployment.agents, nil)
+	return deployment.StartAgent(ctx, len(deployment.agents)-1)
+}
+
+// StartAgent starts a new life of an agent at its earlier addresses.
+func (deployment *Deployment) StartAgent(ctx context.Context, number int) error {
+	deployment.agents[number] = agentserver.New(deployment.agentAt[number], deployment.options.Logger)
+	return deployment.agents[number].Start(ctx)
+}
+
+func (deployment *Deployment) startGroup(ctx context.Context, zone string) error {
+	settings := engineserver.DefaultSettings()
+	settings.Name = zone + "-group"
+	settings.Model = Model
+	settings.Ranks = deployment.options.RanksPerZone
+	if deployment.options.ChangeEngine != nil {
+		deployment.options.ChangeEngine(&settings)
+	}
+	group := engineserver.NewGroup(settings, dialer.NewWeightStore(deployment.weightsAt))
+	deployment.groups = append(deployment.groups, group)
+	go group.Run(deployment.background)
+	for rank := range group.Ranks() {
+		address, err := deployment.serve(group.Rank(rank).Handler())
+		if err != nil {
+			return err
+		}
+		err = deployment.addAgent(ctx, func(agent *agentserver.Settings) {
+			agent.ID = fmt.Sprintf("%s-engine-%d", zone, rank)
+			agent.Zone = zone
+			agent.Role = "engine"
+			agent.Backend = address
+			agent.Group = settings.Name
+			agent.Rank = rank
+			agent.Model = Model
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (deployment *Deployment) startService(ctx context.Context, zone string) error {
+	service := serviceserver.New(ServiceName)
+	deployment.services = append(deployment.services, service)
+	address, err := deployment.serve(service.Handler())
+	if err != nil {
+		return err
+	}
+	return deployment.addAgent(ctx, func(agent *agentserver.Settings) {
+		agent.ID = zone + "-" + ServiceName
+		agent.Zone = zone
+		agent.Role = "service"
+		agent.Backend = address
+		agent.Service = ServiceName
+	})
+}
+
+// AwaitReady waits until every entry has a confirmed configuration and knows its zone.
+func (deployment *Deployment) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	perZone := deployment.options.EntriesPerZone + deployment.options.RanksPerZone + 1
+	for _, entry := range deployment.entries {
+		for !entry.Ready() || entry.Listed() < perZone {
+			select {
+			case <-ctx.Done():
+				return eris.Errorf("entry %s did not get ready", entry.Instance().ID)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Stop stops every process of the deployment, entries first.
+func (deployment *Deployment) Stop(ctx context.Context) {
+	for _, entry := range deployment.entries {
+		if entry != nil {
+			_ = entry.Stop(ctx)
+		}
+	}
+	for _, agent := range deployment.agents {
+		if agent != nil {
+			_ = agent.Stop(ctx)
+		}
+	}
+	deployment.cancel()
+	for _, server := range deployment.servers {
+		server.Kill()
+	}
+}
+
+// Entry returns an entry.
+func (deployment *Deployment) Entry(number int) *entryserver.Server {
+	return deployment.entries[number]
+}
+
+// Entries returns how many entries there are.
+func (deployment *Deployment) Entries() int { return len(deployment.entries) }
+
+// EntrySettings returns the settings of an entry.
+func (deployment *Deployment) EntrySettings(number int) entryserver.Settings {
+	return deployment.entryAt[number]
+}
+
+// Agent returns an agent.
+func (deployment *Deployment) Agent(number int) *agentserver.Server { return deployment.agents[number] }
+
+// Agents returns how many agents there are.
+func (deployment *Deployment) Agents() int { return len(deployment.agents) }
+
+// AgentSettings returns the settings of an agent.
+func (deployment *Deployment) AgentSettings(number int) agentserver.Settings {
+	return deployment.agentAt[number]
+}
+
+// Group returns the engine group of a zone.
+func (deployment *Deployment) Group(zone int) *engineserver.Group { return deployment.groups[zone] }
+
+// Groups returns how many engine groups there are.
+func (deployment *Deployment) Groups() int { return len(deployment.groups) }
+
+// Service returns the backend server of the plain service in a zone.
+func (deployment *Deployment) Service(zone int) *serviceserver.Server {
+	return deployment.services[zone]
+}
+
+// Services returns how many backend servers the plain service has.
+func (deployment *Deployment) Services() int { return len(deployment.services) }
+
+// KeyValue returns the key-value service.
+func (deployment *Deployment) KeyValue() *keyvalueserver.Server { return deployment.keyValue }
+
+// List returns the instance list.
+func (deployment *Deployment) List() *listserver.Server { return deployment.list }
+
+// Weights returns the weight store.
+func (deployment *Deployment) Weights() *weightserver.Server { return deployment.weights }
--- /dev/null
+++ b/cranberryward/doc.go
@@ -0,0 +1,2 @@
+// Command cranberryward is the operators' command line.
+package main
--- /dev/null
+++ b/deduplicator/assign.go
@@ -0,0 +1,96 @@
+package deduplicator
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// Assign returns the table after every shard without a listed home got one, and whether anything changed.
+func Assign(table Table, listed []cranberryward.Instance, absent func(instance string) bool, now time.Time, wait time.Duration) (Table, bool) {
+	live := slices.DeleteFunc(slices.Clone(listed), func(instance cranberryward.Instance) bool { return instance.Leaving })
+	if len(live) == 0 {
+		return table, false
+	}
+	counts := map[string]int{}
+	for _, home := range table.Homes {
+		counts[home.Instance]++
+	}
+	changed := false
+	for shard, home := range table.Homes {
+		next, move := successor(home, live, absent, counts)
+		if !move {
+			continue
+		}
+		counts[home.Instance]--
+		counts[next.ID]++
+		changed = true
+		table.Homes[shard] = homeOf(next)
+		if home.Instance == "" {
+			continue
+		}
+		table.Homes[shard].SinceMillis = now.UnixMilli()
+		if next.ID != home.Instance {
+			table.Homes[shard].WaitMillis = wait.Milliseconds()
+		}
+	}
+	if changed {
+		table.Epoch++
+	}
+	return table, changed
+}
+
+func successor(home Home, live []cranberryward.Instance, absent func(instance string) bool, counts map[string]int) (cranberryward.Instance, bool) {
+	for _, instance := range live {
+		if instance.ID == home.Instance {
+			return instance, instance.Incarnation != home.Incarnation
+		}
+	}
+	if home.Instance != "" && !absent(home.Instance) {
+		return cranberryward.Instance{}, false
+	}
+	return leastLoaded(live, counts), true
+}
+
+func leastLoaded(live []cranberryward.Instance, counts map[string]int) cranberryward.Instance {
+	candidates := slices.Clone(live)
+	sort.SliceStable(candidates, func(i, j int) bool {
+		if counts[candidates[i].ID] != counts[candidates[j].ID] {
+			return counts[candidates[i].ID] < counts[candidates[j].ID]
+		}
+		return candidates[i].ID < candidates[j].ID
+	})
+	return candidates[0]
+}
+
+func homeOf(instance cranberryward.Instance) Home {
+	return Home{
+		Instance:    instance.ID,
+		Address:     instance.Address,
+		PeerAddress: instance.PeerAddress,
+		Incarnation: instance.Incarnation,
+	}
+}
+
+// HandOver returns the table after the shards of an instance went to another one that took over its memory.
+func HandOver(table Table, from string, to cranberryward.Instance, waited func(shard int) bool) (Table, bool) {
+	changed := false
+	for shard, home := range table.Homes {
+		if home.Instance != from {
+			continue
+		}
+		next := homeOf(to)
+		next.SinceMillis = home.SinceMillis
+		if !waited(shard) {
+			next.WaitMillis = home.WaitMillis
+		}
+		table.Homes[shard] = next
+		changed = true
+	}
+	if changed {
+		table.Epoch++
+	}
+	return table, changed
+}
--- /dev/null
+++ b/deduplicator/key.go
@@ -0,0 +1,53 @@
+package deduplicator
+
+import (
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+)
+
+// ShardCount is how many shards the keys of a service are spread over.
+const ShardCount = 64
+
+const (
+	uuidLength     = 36
+	uuidVersionAt  = 14
+	uuidTimeBytes  = 6
+	earliestMillis = 631_152_000_000
+)
+
+// ShardOf returns the shard of a key.
+func ShardOf(key string) int { return int(xxhash.Sum64String(key) % ShardCount) }
+
+// KeyTime returns when a ULID or a UUID of version 7 was made, and false for any other key.
+func KeyTime(key string) (time.Time, bool) {
+	if len(key) == ulid.EncodedSize {
+		id, err := ulid.ParseStrict(strings.ToUpper(key))
+		if err != nil {
+			return time.Time{}, false
+		}
+		return plausible(int64(id.Time()))
+	}
+	if len(key) != uuidLength || key[uuidVersionAt] != '7' {
+		return time.Time{}, false
+	}
+	raw, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
+	if err != nil || len(raw) < uuidTimeBytes {
+		return time.Time{}, false
+	}
+	var millis int64
+	for _, octet := range raw[:uuidTimeBytes] {
+		millis = millis<<8 | int64(octet)
+	}
+	return plausible(millis)
+}
+
+func plausible(millis int64) (time.Time, bool) {
+	return time.UnixMilli(millis), millis >= earliestMillis
+}
+
+// NewKey returns a key that carries the time at which it was made.
+func NewKey() string { return ulid.Make().String() }
--- /dev/null
+++ b/dialer/http.go
@@ -0,0 +1,144 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	dialTimeout         = 2 * time.Second
+	idleTimeout         = 30 * time.Second
+	headerTimeout       = 30 * time.Second
+	maxIdlePerHost      = 64
+	maxErrorBytes       = 64 << 10
+	maxAnswerBytes      = 16 << 20
+	contentTypeJSON     = "application/json"
+	headerContentType   = "Content-Type"
+	readBufferSizeBytes = 4 << 10
+)
+
+// NewTransport returns an HTTP transport that keeps connections for reuse.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:   maxIdlePerHost,
+		IdleConnTimeout:       idleTimeout,
+		ResponseHeaderTimeout: headerTimeout,
+		DisableCompression:    true,
+		ReadBufferSize:        readBufferSizeBytes,
+		WriteBufferSize:       readBufferSizeBytes,
+	}
+}
+
+// NewSingleUseTransport returns an HTTP transport that never reuses a connection and so never replays a request by itself.
+func NewSingleUseTransport() *http.Transport {
+	transport := NewTransport()
+	transport.DisableKeepAlives = true
+	return transport
+}
+
+// FailureOfTransport returns the failure for an error of an HTTP round trip, not run when no connection was made.
+func FailureOfTransport(ctx context.Context, err error) *cranberryward.Failure {
+	verdict := cranberryward.MayHaveRun
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		verdict = cranberryward.NotRun
+	}
+	reason := cranberryward.ReasonUnreachable
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = cranberryward.ReasonCanceled
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = cranberryward.ReasonDeadline
+	}
+	return cranberryward.NewFailure(verdict, reason, "request to "+string(reason)).WithCause(err)
+}
+
+type connection struct {
+	base   string
+	client *http.Client
+}
+
+func newConnection(address string) connection {
+	return connection{
+		base:   "http://" + address,
+		client: &http.Client{Transport: NewTransport()},
+	}
+}
+
+func (connection connection) send(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "encode request").WithCause(err)
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, connection.base+path, reader)
+	if err != nil {
+		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "make request").WithCause(err)
+	}
+	request.Header.Set(headerContentType, contentTypeJSON)
+	response, err := connection.client.Do(request)
+	if err != nil {
+		return nil, FailureOfTransport(ctx, err)
+	}
+	return response, nil
+}
+
+func (connection connection) call(ctx context.Context, method, path string, body, answer any) error {
+	response, err := connection.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return ReadFailure(response)
+	}
+	if answer == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	} else {
+		err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer)
+	}
+	if err != nil {
+		return FailureOfTransport(ctx, err)
+	}
+	return nil
+}
+
+// ReadFailure returns the failure that an error answer carries.
+func ReadFailure(response *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err != nil {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonBroken, "error answer was cut off").WithCause(err)
+	}
+	var message cranberryward.ErrorMessage
+	if json.Unmarshal(data, &message) != nil || message.Error.Code == "" {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonInternal,
+			"answer with status "+http.StatusText(response.StatusCode)).WithCause(eris.New(string(data)))
+	}
+	return message.Failure()
+}
+
+// ReadWhole reads an answer's body and fails when it is cut off or longer than the limit in bytes.
+func ReadWhole(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonBroken, "answer was cut off").WithCause(err)
+	}
+	if int64(len(data)) > limit {
+		return nil, cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonBroken, "answer is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/dialer/instancelist.go
@@ -0,0 +1,47 @@
+package dialer
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// InstanceList reaches the platform's instance list.
+type InstanceList struct {
+	connection connection
+}
+
+var _ cranberryward.InstanceList = (*InstanceList)(nil)
+
+// NewInstanceList returns a client for the list at the address.
+func NewInstanceList(address string) *InstanceList {
+	return &InstanceList{
+		connection: newConnection(address),
+	}
+}
+
+// List returns the instances of a zone, or of all zones for the empty name.
+func (instanceList *InstanceList) List(ctx context.Context, zone string) (cranberryward.Membership, error) {
+	var membership cranberryward.Membership
+	err := instanceList.connection.call(ctx, http.MethodGet, "/v1/instances?zone="+url.QueryEscape(zone), nil, &membership)
+	return membership, err
+}
+
+// ListService returns the instances of a plain service in all zones.
+func (instanceList *InstanceList) ListService(ctx context.Context, service string) (cranberryward.Membership, error) {
+	var membership cranberryward.Membership
+	err := instanceList.connection.call(ctx, http.MethodGet, "/v1/instances?service="+url.QueryEscape(service), nil, &membership)
+	return membership, err
+}
+
+// Register adds or replaces the row of an instance.
+func (instanceList *InstanceList) Register(ctx context.Context, instance cranberryward.Instance) error {
+	return instanceList.connection.call(ctx, http.MethodPut, "/v1/instances/"+url.PathEscape(instance.ID), instance, nil)
+}
+
+// Deregister removes the row of an instance that has ended.
+func (instanceList *InstanceList) Deregister(ctx context.Context, id string) error {
+	return instanceList.connection.call(ctx, http.MethodDelete, "/v1/instances/"+url.PathEscape(id), nil, nil)
+}
--- /dev/null
+++ b/dialer/weightstore.go
@@ -0,0 +1,48 @@
+package dialer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// WeightStore reaches the platform's weight store.
+type WeightStore struct {
+	connection connection
+}
+
+var _ cranberryward.WeightStore = (*WeightStore)(nil)
+
+// NewWeightStore returns a client for the store at the address.
+func NewWeightStore(address string) *WeightStore {
+	return &WeightStore{
+		connection: newConnection(address),
+	}
+}
+
+// Fetch reads the weights of experts and returns how many bytes they hold.
+func (weightStore *WeightStore) Fetch(ctx context.Context, model string, layer int, experts []int) (int64, error) {
+	names := make([]string, len(experts))
+	for i, expert := range experts {
+		names[i] = strconv.Itoa(expert)
+	}
+	path := "/v1/weights/" + url.PathEscape(model) + "/" + strconv.Itoa(layer) + "?experts=" + strings.Join(names, ",")
+	response, err := weightStore.connection.send(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, ReadFailure(response)
+	}
+	size, err := io.Copy(io.Discard, response.Body)
+	if err != nil {
+		return size, FailureOfTransport(ctx, err)
+	}
+	return size, nil
+}
--- /dev/null
+++ b/distributor/service.go
@@ -0,0 +1,193 @@
+package distributor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+)
+
+const (
+	maxPullWait   = time.Second
+	childLifetime = 4 * time.Second
+	pollInterval  = 20 * time.Millisecond
+)
+
+type child struct {
+	inForce   uint64
+	processes int
+	at        time.Time
+}
+
+// Service answers the pulls and confirmations of child processes.
+type Service struct {
+	zone     string
+	holder   *Holder
+	mutex    sync.Mutex
+	children map[string]child
+	changed  chan struct{}
+}
+
+// NewService returns a service that hands on what the holder knows.
+func NewService(zone string, holder *Holder) *Service {
+	return &Service{
+		zone:     zone,
+		holder:   holder,
+		children: map[string]child{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// Pull answers at once when the child is behind and else after the wait.
+func (service *Service) Pull(request PullRequest, reply *PullReply) error {
+	started := time.Now()
+	service.touch(request)
+	deadline := time.NewTimer(min(time.Duration(request.WaitMillis)*time.Millisecond, maxPullWait))
+	defer deadline.Stop()
+	for {
+		changed := service.holder.Changed()
+		if service.fill(request, reply) {
+			break
+		}
+		expired := false
+		select {
+		case <-changed:
+		case <-deadline.C:
+			expired = true
+		}
+		if expired {
+			break
+		}
+	}
+	age, confirmed := service.holder.Age()
+	reply.Confirmed = confirmed
+	reply.AgeMillis = age.Milliseconds() + 1
+	reply.Revision = service.holder.Revision()
+	reply.WaitedMillis = time.Since(started).Milliseconds()
+	return nil
+}
+
+func (service *Service) fill(request PullRequest, reply *PullReply) (news bool) {
+	if membership := service.holder.Membership(); membership.Version > request.MembershipVersion {
+		reply.Membership = &membership
+		news = true
+	}
+	if service.holder.Revision() <= request.Revision {
+		return news
+	}
+	entries, complete := service.holder.since(request.Revision)
+	if complete {
+		reply.Entries = entries
+	} else {
+		configuration := service.holder.Configuration()
+		reply.Snapshot = &configuration
+	}
+	return true
+}
+
+func (service *Service) touch(request PullRequest) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	known := service.children[request.From]
+	known.at = time.Now()
+	known.processes = max(known.processes, 1)
+	if known.inForce > request.Revision {
+		known.inForce = request.Revision
+	}
+	service.children[request.From] = known
+}
+
+// Confirm records which revision is in force below a child.
+func (service *Service) Confirm(request ConfirmRequest, _ *ConfirmReply) error {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.children[request.From] = child{
+		inForce:   request.InForce,
+		processes: request.Processes,
+		at:        time.Now(),
+	}
+	close(service.changed)
+	service.changed = make(chan struct{})
+	return nil
+}
+
+// InForce returns the revision in force on this process and all processes below it, and how many they are.
+func (service *Service) InForce() (revision uint64, processes int) {
+	revision, processes = service.holder.Revision(), 1
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	for id, child := range service.children {
+		if time.Since(child.at) > childLifetime {
+			delete(service.children, id)
+			continue
+		}
+		revision = min(revision, child.inForce)
+		processes += child.processes
+	}
+	return revision, processes
+}
+
+// WaitInForce answers with the revision in force below this process, waiting for the one asked for.
+func (service *Service) WaitInForce(request InForceRequest, reply *InForceReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(request.WaitMillis)*time.Millisecond)
+	defer cancel()
+	for {
+		service.mutex.Lock()
+		changed := service.changed
+		service.mutex.Unlock()
+		holderChanged := service.holder.Changed()
+		reply.Zone = service.zone
+		reply.Revision, reply.Processes = service.InForce()
+		if reply.Revision >= request.Revision || ctx.Err() != nil {
+			break
+		}
+		select {
+		case <-changed:
+		case <-holderChanged:
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+		}
+	}
+	reply.Listed = len(service.holder.Membership().Select(func(instance cranberryward.Instance) bool {
+		return instance.Zone == service.zone
+	}))
+	return nil
+}
+
+// ChangedBelow returns a channel that is closed when a child confirms.
+func (service *Service) ChangedBelow() <-chan struct{} {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.changed
+}
+
+// AskInForce asks the roots of a zone which revision is in force there, waiting for the one given.
+func AskInForce(ctx context.Context, client *caller.Client, membership cranberryward.Membership, zone string, revision uint64, wait time.Duration) (InForceReply, error) {
+	total := InForceReply{
+		Zone: zone,
+	}
+	var failure error
+	entries := Entries(membership, zone)
+	for i := range min(rootCount, len(entries)) {
+		var reply InForceReply
+		err := client.Call(ctx, entries[i].PeerAddress, "Distributor.WaitInForce", InForceRequest{
+			Revision:   revision,
+			WaitMillis: wait.Milliseconds(),
+		}, &reply)
+		if err != nil {
+			failure = err
+			continue
+		}
+		if total.Processes == 0 || reply.Revision < total.Revision {
+			total.Revision = reply.Revision
+		}
+		total.Processes += reply.Processes
+		total.Listed = max(total.Listed, reply.Listed)
+	}
+	if total.Processes == 0 && failure == nil {
+		failure = cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "no entry is listed in availability zone "+zone)
+	}
+	return total, failure
+}
--- /dev/null
+++ b/distributor/tree.go
@@ -0,0 +1,67 @@
+package distributor
+
+import (
+	"sort"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+const (
+	rootCount = 2
+	fanOut    = 8
+)
+
+// Entries returns the entries of the zone ordered by rendezvous weight, the roots of the tree first.
+func Entries(membership cranberryward.Membership, zone string) []cranberryward.Instance {
+	entries := membership.Select(func(instance cranberryward.Instance) bool {
+		return instance.Zone == zone && instance.Role == cranberryward.RoleEntry
+	})
+	order(entries, zone)
+	return entries
+}
+
+func order(instances []cranberryward.Instance, key string) {
+	sort.Slice(instances, func(i, j int) bool {
+		a, b := cranberryward.RendezvousWeight(key, instances[i].ID), cranberryward.RendezvousWeight(key, instances[j].ID)
+		if a != b {
+			return a > b
+		}
+		return instances[i].ID < instances[j].ID
+	})
+}
+
+// IsRoot returns whether the entry watches the platform for its zone.
+func IsRoot(membership cranberryward.Membership, zone, id string) bool {
+	for i, entry := range Entries(membership, zone) {
+		if entry.ID == id {
+			return i < rootCount
+		}
+	}
+	return true
+}
+
+// Parents returns the entries that a process pulls from, in the order of preference.
+func Parents(membership cranberryward.Membership, zone, id string) []cranberryward.Instance {
+	entries := Entries(membership, zone)
+	position := -1
+	for i, entry := range entries {
+		if entry.ID == id {
+			position = i
+		}
+	}
+	if position >= 0 && position < rootCount {
+		return nil
+	}
+	if position < 0 {
+		order(entries, id)
+		return entries
+	}
+	parent := (position - rootCount) / fanOut
+	parents := []cranberryward.Instance{entries[parent]}
+	for i := range min(rootCount, len(entries)) {
+		if i != parent {
+			parents = append(parents, entries[i])
+		}
+	}
+	return parents
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Command entry takes requests from callers, routes them and controls the groups of its availability zone.
+package main
--- /dev/null
+++ b/entry/server/admin.go
@@ -0,0 +1,227 @@
+package server
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"expvar"
+	"net/http"
+	"net/http/pprof"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/configurer"
+	"github.com/cranberryward/cranberryward/controller"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/gorilla/mux"
+)
+
+const (
+	maxAdminBody = 4 << 20
+	bearerPrefix = "Bearer "
+)
+
+// WindowStatus tells when a quiet window opens next.
+type WindowStatus struct {
+	Name   string    `json:"name"`
+	Zone   string    `json:"zone"`
+	Open   bool      `json:"open"`
+	Opens  time.Time `json:"opens"`
+	Closes time.Time `json:"closes"`
+}
+
+// Status is the state of the deployment as one entry sees it.
+type Status struct {
+	Instance    string              `json:"instance"`
+	Zone        string              `json:"zone"`
+	Version     string              `json:"version"`
+	Revision    uint64              `json:"revision"`
+	Confirmed   bool                `json:"confirmed"`
+	AgeMS       int64               `json:"age_ms"`
+	Zones       []ZoneStatus        `json:"zones"`
+	Groups      []controller.Status `json:"groups"`
+	Leaving     []string            `json:"leaving"`
+	Windows     []WindowStatus      `json:"windows"`
+	Quarantines []string            `json:"quarantines"`
+}
+
+func (entry *entry) adminHandler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", handleHealth).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", entry.handleReady).Methods(http.MethodGet)
+	viewer := router.NewRoute().Subrouter()
+	viewer.Use(entry.requireRole(RoleViewer))
+	viewer.HandleFunc("/admin/v1/configuration", entry.handleConfiguration).Methods(http.MethodGet)
+	viewer.HandleFunc("/admin/v1/status", entry.handleStatus).Methods(http.MethodGet)
+	viewer.HandleFunc("/admin/v1/zones", entry.handleZones).Methods(http.MethodGet)
+	viewer.HandleFunc("/admin/v1/explain/{name}", entry.handleExplain).Methods(http.MethodGet)
+	viewer.HandleFunc("/admin/v1/history", entry.handleHistory).Methods(http.MethodGet)
+	viewer.HandleFunc("/debug/vars", entry.handleVars).Methods(http.MethodGet)
+	viewer.PathPrefix("/debug/pprof/").HandlerFunc(handleProfile)
+	operator := router.NewRoute().Subrouter()
+	operator.Use(entry.requireRole(RoleOperator))
+	operator.HandleFunc("/admin/v1/submissions", entry.handleSubmission).Methods(http.MethodPost)
+	router.NotFoundHandler = http.HandlerFunc(handleUnknown)
+	router.MethodNotAllowedHandler = http.HandlerFunc(handleUnknown)
+	return router
+}
+
+// roleOf returns the role that a request's token gives, comparing with every token in constant time.
+func (entry *entry) roleOf(request *http.Request) string {
+	given := request.Header.Get("Authorization")
+	digest := sha256.Sum256([]byte(strings.TrimPrefix(given, bearerPrefix)))
+	role := ""
+	for _, token := range entry.settings.Tokens {
+		if subtle.ConstantTimeCompare(digest[:], token.hash[:]) == 1 && strings.HasPrefix(given, bearerPrefix) {
+			role = token.role
+		}
+	}
+	return role
+}
+
+func (entry *entry) requireRole(role string) mux.MiddlewareFunc {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if given := entry.roleOf(request); given != role && given != RoleOperator {
+				listener.WriteError(writer, "", cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnauthorized,
+					"a bearer token with the role "+role+" is needed").WithResend(false))
+				return
+			}
+			next.ServeHTTP(writer, request)
+		})
+	}
+}
+
+func (entry *entry) handleConfiguration(writer http.ResponseWriter, _ *http.Request) {
+	configuration := entry.holder.Configuration()
+	configuration.Accepted = nil
+	listener.WriteJSON(writer, http.StatusOK, configuration)
+}
+
+func (entry *entry) handleHistory(writer http.ResponseWriter, _ *http.Request) {
+	listener.WriteJSON(writer, http.StatusOK, entry.holder.Recent())
+}
+
+func (entry *entry) handleZones(writer http.ResponseWriter, request *http.Request) {
+	revision, err := strconv.ParseUint(request.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		revision = entry.holder.Revision()
+	}
+	wait, err := time.ParseDuration(request.URL.Query().Get("wait"))
+	if err != nil || wait > entry.settings.InForceWait {
+		wait = 0
+	}
+	listener.WriteJSON(writer, http.StatusOK, entry.zoneStatus(request.Context(), revision, wait))
+}
+
+func (entry *entry) handleExplain(writer http.ResponseWriter, request *http.Request) {
+	name := mux.Vars(request)["name"]
+	lines := entry.recorder.Lines(name)
+	if len(lines) == 0 {
+		listener.WriteError(writer, name, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNotFound,
+			"this entry remembers nothing about "+strconv.Quote(name)).WithResend(false))
+		return
+	}
+	listener.WriteJSON(writer, http.StatusOK, lines)
+}
+
+func (entry *entry) handleStatus(writer http.ResponseWriter, request *http.Request) {
+	age, confirmed := entry.holder.Age()
+	configuration := entry.holder.Configuration()
+	status := Status{
+		Instance:  entry.settings.ID,
+		Zone:      entry.settings.Zone,
+		Version:   cranberryward.Version,
+		Revision:  configuration.Revision,
+		Confirmed: confirmed && age <= entry.settings.MaxAge,
+		AgeMS:     age.Milliseconds(),
+		Zones:     entry.zoneStatus(request.Context(), configuration.Revision, 0),
+		Groups:    entry.groupStatus(),
+	}
+	if !confirmed {
+		status.AgeMS = -1
+	}
+	entry.fillEffect(&status, configuration)
+	listener.WriteJSON(writer, http.StatusOK, status)
+}
+
+func (entry *entry) groupStatus() []controller.Status {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	groups := []controller.Status{}
+	for _, running := range entry.groups {
+		if status, held := running.group.Status(); held {
+			groups = append(groups, status)
+		}
+	}
+	return groups
+}
+
+func (entry *entry) fillEffect(status *Status, configuration cranberryward.Configuration) {
+	now := time.Now()
+	effect := configurer.NewEffect(configuration, now)
+	for _, instance := range entry.holder.Membership().Instances {
+		if effect.Leaving(instance.ID) || instance.Leaving {
+			status.Leaving = append(status.Leaving, instance.ID)
+		}
+	}
+	for _, window := range effect.Calendar().Windows() {
+		opens, closes, ok := window.Next(now)
+		if ok {
+			status.Windows = append(status.Windows, WindowStatus{
+				Name:   window.Name(),
+				Zone:   window.Zone(),
+				Open:   !opens.After(now),
+				Opens:  opens,
+				Closes: closes,
+			})
+		}
+	}
+	seen := map[string]bool{}
+	for _, correction := range configuration.Corrections {
+		if correction.Kind == cranberryward.CorrectCrash && effect.Crashes(correction.Name) >= entry.settings.MaxCrashes && !seen[correction.Name] {
+			seen[correction.Name] = true
+			status.Quarantines = append(status.Quarantines, correction.Name)
+		}
+	}
+}
+
+func (entry *entry) handleSubmission(writer http.ResponseWriter, request *http.Request) {
+	var submission cranberryward.Submission
+	if err := listener.ReadJSON(writer, request, maxAdminBody, &submission); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	status, err := entry.submit(request.Context(), submission, entry.settings.InForceWait)
+	if err != nil {
+		listener.WriteError(writer, submission.ID, err)
+		return
+	}
+	code := http.StatusOK
+	if !status.InForce {
+		code = http.StatusAccepted
+	}
+	listener.WriteJSON(writer, code, status)
+}
+
+func (entry *entry) handleVars(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	received, sent := entry.peers.Traffic()
+	moreReceived, moreSent := entry.client.Traffic()
+	control := new(expvar.Map)
+	control.Add("control_bytes_received", received+moreReceived)
+	control.Add("control_bytes_sent", sent+moreSent)
+	_, _ = writer.Write([]byte(`{"entry":` + entry.metrics.values.String() + `,"control":` + control.String() + `}`))
+}
+
+func handleProfile(writer http.ResponseWriter, request *http.Request) {
+	switch strings.TrimPrefix(request.URL.Path, "/debug/pprof/") {
+	case "profile":
+		pprof.Profile(writer, request)
+	case "trace":
+		pprof.Trace(writer, request)
+	default:
+		pprof.Index(writer, request)
+	}
+}
--- /dev/null
+++ b/entry/server/dispatch.go
@@ -0,0 +1,284 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/charter"
+	"github.com/cranberryward/cranberryward/framer"
+	"github.com/cranberryward/cranberryward/pool"
+	"github.com/cranberryward/cranberryward/quarantiner"
+	"github.com/cranberryward/cranberryward/router"
+)
+
+const (
+	eventAdmit  = charter.Event("admit")
+	eventSend   = charter.Event("send")
+	eventRefuse = charter.Event("refuse")
+	eventStream = charter.Event("stream")
+	eventBreak  = charter.Event("break")
+	eventFinish = charter.Event("finish")
+	eventFail   = charter.Event("fail")
+	eventCancel = charter.Event("cancel")
+	eventRetry  = charter.Event("retry")
+
+	maxResumes      = 3
+	resumeDelay     = 50 * time.Millisecond
+	cancelTimeout   = 2 * time.Second
+	crashRecordTime = 2 * time.Second
+)
+
+var requestChart = charter.MustLoad("request", eventAdmit, eventSend, eventRefuse, eventStream, eventBreak, eventFinish, eventFail, eventCancel, eventRetry)
+
+// dispatched is one model request on its way through the entry.
+type dispatched struct {
+	entry       *entry
+	request     modelRequest
+	write       func(text string) error
+	machine     charter.Machine
+	routing     router.Request
+	fingerprint string
+	assembler   *framer.Assembler
+	target      string
+	attemptID   string
+	tried       map[string]bool
+	mayHaveRun  bool
+}
+
+// dispatch answers a model request by one of the backend servers and returns the end mark of the whole answer.
+func (entry *entry) dispatch(ctx context.Context, request modelRequest, write func(text string) error) (*cranberryward.FrameEnd, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.call.deadline)
+	defer cancel()
+	dispatched := &dispatched{
+		entry:       entry,
+		request:     request,
+		write:       write,
+		machine:     requestChart.Start(),
+		fingerprint: quarantiner.Fingerprint(request.call.workspace, request.model, request.prompt),
+		tried:       map[string]bool{},
+	}
+	dispatched.routing = router.NewRequest(cranberryward.PrefixBlocks(nil, request.prompt), len(request.prompt), request.call.priority, request.call.deadline)
+	end, err := dispatched.run(ctx)
+	dispatched.log(err)
+	return end, err
+}
+
+func (dispatched *dispatched) log(err error) {
+	call := dispatched.request.call
+	dispatched.entry.metrics.count("model_" + string(dispatched.machine.State()))
+	_ = dispatched.entry.logger.Log("event", "model_request", "request_id", call.requestID, "workspace", call.workspace,
+		"state", dispatched.machine.State(), "verdict", cranberryward.VerdictOf(err), "attempts", len(dispatched.tried),
+		"took_ms", sinceStart(call).Milliseconds(), "revision", dispatched.entry.holder.Revision(), "error", err)
+}
+
+func (dispatched *dispatched) fire(event charter.Event) {
+	if err := dispatched.machine.Fire(event); err != nil {
+		_ = dispatched.entry.logger.Log("event", "state_fault", "request_id", dispatched.request.call.requestID, "error", err)
+	}
+}
+
+func (dispatched *dispatched) run(ctx context.Context) (*cranberryward.FrameEnd, error) {
+	entry := dispatched.entry
+	if entry.holder.Effect().Crashes(dispatched.fingerprint) >= entry.settings.MaxCrashes {
+		dispatched.fire(eventRefuse)
+		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonQuarantined,
+			"the request has crashed backend servers and is quarantined").WithResend(false)
+	}
+	entry.retries.Deposit()
+	dispatched.fire(eventAdmit)
+	var last error
+	for attempt := 1; ; attempt++ {
+		end, err := dispatched.attempt(ctx, attempt)
+		if err == nil {
+			dispatched.fire(eventFinish)
+			return end, nil
+		}
+		dispatched.mayHaveRun = dispatched.mayHaveRun || cranberryward.VerdictOf(err) == cranberryward.MayHaveRun
+		if last == nil || cranberryward.FailureOf(err).Reason() != cranberryward.ReasonNoBackendServer {
+			last = err
+		}
+		if !dispatched.mayRetry(ctx, attempt, err) {
+			return nil, dispatched.giveUp(ctx, last)
+		}
+		dispatched.fire(eventRetry)
+	}
+}
+
+// mayRetry allows another attempt when nothing of the answer was passed on and the budget and the deadline allow it.
+func (dispatched *dispatched) mayRetry(ctx context.Context, attempt int, err error) bool {
+	if ctx.Err() != nil || attempt >= dispatched.entry.settings.Attempts || dispatched.machine.State() != "sent" && dispatched.machine.State() != "resuming" {
+		return false
+	}
+	if dispatched.assembler != nil && dispatched.assembler.Position() > 0 {
+		return false
+	}
+	switch cranberryward.FailureOf(err).Reason() {
+	case cranberryward.ReasonQuarantined, cranberryward.ReasonInvalid, cranberryward.ReasonNotFound, cranberryward.ReasonNoBackendServer, cranberryward.ReasonCanceled:
+		return false
+	case cranberryward.ReasonLeaving, cranberryward.ReasonStopping:
+		return true
+	}
+	if !dispatched.entry.retries.Withdraw() {
+		dispatched.entry.metrics.count("retries_denied")
+		return false
+	}
+	dispatched.entry.metrics.count("retries")
+	return true
+}
+
+func (dispatched *dispatched) giveUp(ctx context.Context, err error) error {
+	failure := cranberryward.FailureOf(err)
+	switch {
+	case ctx.Err() != nil && failure.Reason() == cranberryward.ReasonCanceled:
+		dispatched.fire(eventCancel)
+	case failure.Verdict() == cranberryward.NotRun && !dispatched.mayHaveRun:
+		dispatched.fire(eventRefuse)
+	default:
+		dispatched.fire(eventFail)
+	}
+	if dispatched.mayHaveRun && failure.Verdict() == cranberryward.NotRun {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, failure.Reason(), failure.Message()).WithCause(err).WithResend(true)
+	}
+	return err
+}
+
+func (dispatched *dispatched) attempt(ctx context.Context, attempt int) (*cranberryward.FrameEnd, error) {
+	target, ticket, err := dispatched.choose(ctx)
+	if err != nil {
+		return nil, err
+	}
+	dispatched.target = target.Address
+	dispatched.tried[target.ID] = true
+	dispatched.attemptID = dispatched.request.call.requestID
+	if attempt > 1 {
+		dispatched.attemptID += "-" + strconv.Itoa(attempt)
+	}
+	dispatched.assembler = framer.New(dispatched.attemptID)
+	dispatched.fire(eventSend)
+	answer, err := dispatched.entry.agents.generate(ctx, target.Address, dispatched.generateRequest(), dispatched.entry.holder.Revision(), dispatched.receive)
+	if ticket != nil {
+		ticket.Finish(err, answer.load, answer.reported)
+	}
+	if err == nil {
+		return dispatched.assembler.End(), nil
+	}
+	end, err := dispatched.recover(ctx, err)
+	if err != nil && (ctx.Err() != nil || cranberryward.FailureOf(err).Reason() == cranberryward.ReasonCanceled) {
+		dispatched.cancelEngine()
+	}
+	return end, err
+}
+
+func (dispatched *dispatched) generateRequest() cranberryward.GenerateRequest {
+	call := dispatched.request.call
+	return cranberryward.GenerateRequest{
+		RequestID:  dispatched.attemptID,
+		Model:      dispatched.request.model,
+		Workspace:  call.workspace,
+		Prompt:     dispatched.request.prompt,
+		MaxTokens:  dispatched.request.maxTokens,
+		Priority:   call.priority,
+		DeadlineMS: max(call.left().Milliseconds(), 1),
+	}
+}
+
+func (dispatched *dispatched) receive(frame cranberryward.Frame) error {
+	text, err := dispatched.assembler.Add(frame)
+	if err != nil {
+		return err
+	}
+	if dispatched.machine.State() != "streaming" {
+		dispatched.fire(eventStream)
+		dispatched.entry.metrics.record(dispatched.entry.metrics.firstToken, sinceStart(dispatched.request.call))
+	}
+	return dispatched.write(text)
+}
+
+// recover resumes a broken answer at its offset and records a crash that is charged to the request.
+func (dispatched *dispatched) recover(ctx context.Context, err error) (*cranberryward.FrameEnd, error) {
+	failure := cranberryward.FailureOf(err)
+	if failure.Verdict() == cranberryward.NotRun {
+		return nil, err
+	}
+	if failure.Reason() == cranberryward.ReasonCrashed {
+		dispatched.entry.recordCrash(ctx, dispatched.fingerprint)
+		dispatched.breakOff()
+		return nil, err
+	}
+	for range maxResumes {
+		if ctx.Err() != nil || failure.Reason() == cranberryward.ReasonCanceled {
+			return nil, err
+		}
+		dispatched.breakOff()
+		resumeErr := dispatched.entry.agents.resume(ctx, dispatched.target, dispatched.attemptID, dispatched.assembler.Position(), dispatched.receive)
+		if resumeErr == nil {
+			return dispatched.assembler.End(), nil
+		}
+		if cranberryward.FailureOf(resumeErr).Reason() == cranberryward.ReasonNotFound {
+			return nil, err
+		}
+		pause(ctx, resumeDelay)
+	}
+	return nil, err
+}
+
+func (dispatched *dispatched) breakOff() {
+	if dispatched.machine.Can(eventBreak) {
+		dispatched.fire(eventBreak)
+	}
+}
+
+func (dispatched *dispatched) cancelEngine() {
+	target, id := dispatched.target, dispatched.attemptID
+	go func() {
+		ctx, cancel := context.WithTimeout(dispatched.entry.background, cancelTimeout)
+		defer cancel()
+		_ = dispatched.entry.agents.cancel(ctx, target, id)
+	}()
+}
+
+// choose picks a backend server of the own zone, and one of another zone only when the own has none.
+func (dispatched *dispatched) choose(ctx context.Context) (cranberryward.Instance, *pool.Ticket, error) {
+	entry, effect := dispatched.entry, dispatched.entry.holder.Effect()
+	forbidden := func(id string) bool { return dispatched.tried[id] || effect.Leaving(id) }
+	if pool, ok := entry.pools.find(modelPool(dispatched.request.model)); ok {
+		if ticket, found := pool.Choose(dispatched.routing, forbidden); found {
+			dispatched.logRoute(ticket.Instance(), ticket.Choice(), "own_zone")
+			return ticket.Instance(), ticket, nil
+		}
+	}
+	instance, found := entry.elsewhere(ctx, forbidden, func(instance cranberryward.Instance) bool {
+		return instance.Role == cranberryward.RoleEngine && instance.Model == dispatched.request.model
+	})
+	if !found {
+		return instance, nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNoBackendServer,
+			"no backend server can take a request for model "+strconv.Quote(dispatched.request.model)).WithRetryAfter(time.Second)
+	}
+	dispatched.logRoute(instance, router.Choice{}, "other_zone")
+	return instance, nil, nil
+}
+
+func (dispatched *dispatched) logRoute(instance cranberryward.Instance, choice router.Choice, why string) {
+	age, _ := dispatched.entry.holder.Age()
+	_ = dispatched.entry.logger.Log("event", "route", "request_id", dispatched.request.call.requestID, "workspace", dispatched.request.call.workspace,
+		"chosen", instance.ID, "why", why, "predicted_hit_bytes", choice.Hit(), "expected_ms", choice.Wait().Milliseconds(),
+		"load_age_ms", choice.ReportAge().Milliseconds(), "configuration_age_ms", age.Milliseconds(), "revision", dispatched.entry.holder.Revision())
+}
+
+// elsewhere returns a backend server of another zone.
+func (entry *entry) elsewhere(ctx context.Context, forbidden func(id string) bool, wanted func(cranberryward.Instance) bool) (cranberryward.Instance, bool) {
+	membership, err := entry.allZones(ctx)
+	if err != nil {
+		return cranberryward.Instance{}, false
+	}
+	candidates := membership.Select(func(instance cranberryward.Instance) bool {
+		return instance.Zone != entry.settings.Zone && !instance.Leaving && wanted(instance) && !forbidden(instance.ID)
+	})
+	if len(candidates) == 0 {
+		return cranberryward.Instance{}, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
+}
--- /dev/null
+++ b/entry/server/doc.go
@@ -0,0 +1,2 @@
+// Package server is an entry instance: the callers' HTTP interface, routing, the administration interface and the groups' controllers.
+package server
--- /dev/null
+++ b/entry/server/message_openai.go
@@ -0,0 +1,77 @@
+package server
+
+import "encoding/json"
+
+// ChatRequest is the body of a chat completion request, as far as it is read.
+type ChatRequest struct {
+	Model               string         `json:"model"`
+	Messages            []ChatMessage  `json:"messages"`
+	MaxTokens           int            `json:"max_tokens"`
+	MaxCompletionTokens int            `json:"max_completion_tokens"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *StreamOptions `json:"stream_options"`
+}
+
+// ChatMessage is one message whose content is a text or a list of parts.
+type ChatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// ContentPart is one part of a message's content.
+type ContentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// CompletionRequest is the body of a completion request, as far as it is read.
+type CompletionRequest struct {
+	Model         string          `json:"model"`
+	Prompt        json.RawMessage `json:"prompt"`
+	MaxTokens     int             `json:"max_tokens"`
+	Stream        bool            `json:"stream"`
+	StreamOptions *StreamOptions  `json:"stream_options"`
+}
+
+// StreamOptions say what a stream ends with.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Answer is a whole answer or one chunk of a streamed one.
+type Answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is the one choice of an answer.
+type Choice struct {
+	Index        int        `json:"index"`
+	Message      *ChatDelta `json:"message,omitempty"`
+	Delta        *ChatDelta `json:"delta,omitempty"`
+	Text         *string    `json:"text,omitempty"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+// ChatDelta is the text of a chat answer or a piece of it.
+type ChatDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Usage counts the tokens of a request and its answer.
+type Usage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    *PromptDetail `json:"prompt_tokens_details,omitempty"`
+}
+
+// PromptDetail tells how much of the prompt was in the prefix cache.
+type PromptDetail struct {
+	CachedTokens int `json:"cached_tokens"`
+}
--- /dev/null
+++ b/entry/server/model.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/listener"
+)
+
+const (
+	defaultMaxTokens = 256
+	maxMaxTokens     = 1 << 17
+)
+
+// modelRequest is a caller's request in the form that all model requests share.
+type modelRequest struct {
+	call      callContext
+	model     string
+	prompt    string
+	maxTokens int
+	stream    bool
+	usage     bool
+	chat      bool
+}
+
+func (entry *entry) handleChat(writer http.ResponseWriter, request *http.Request) {
+	call, err := entry.contextOf(request)
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	var body ChatRequest
+	if err := listener.ReadJSON(writer, request, int64(entry.settings.MaxBody), &body); err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	prompt, err := promptOf(body.Messages)
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	entry.handleModel(writer, request, modelRequest{
+		call:      call,
+		model:     body.Model,
+		prompt:    prompt,
+		maxTokens: max(body.MaxTokens, body.MaxCompletionTokens),
+		stream:    body.Stream,
+		usage:     body.StreamOptions != nil && body.StreamOptions.IncludeUsage,
+		chat:      true,
+	})
+}
+
+func (entry *entry) handleCompletion(writer http.ResponseWriter, request *http.Request) {
+	call, err := entry.contextOf(request)
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	var body CompletionRequest
+	if err := listener.ReadJSON(writer, request, int64(entry.settings.MaxBody), &body); err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	prompt, err := plainPrompt(body.Prompt)
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	entry.handleModel(writer, request, modelRequest{
+		call:      call,
+		model:     body.Model,
+		prompt:    prompt,
+		maxTokens: body.MaxTokens,
+		stream:    body.Stream,
+		usage:     body.StreamOptions != nil && body.StreamOptions.IncludeUsage,
+	})
+}
+
+func (entry *entry) refuse(writer http.ResponseWriter, call callContext, err error) {
+	entry.metrics.count("refused_" + string(cranberryward.FailureOf(err).Reason()))
+	_ = entry.logger.Log("event", "refused", "request_id", call.requestID, "workspace", call.workspace,
+		"verdict", cranberryward.VerdictOf(err), "revision", entry.holder.Revision(), "error", err)
+	writer.Header().Set(cranberryward.HeaderRequestID, call.requestID)
+	listener.WriteError(writer, call.requestID, err)
+}
+
+// promptOf joins the messages of a chat into one prompt.
+func promptOf(messages []ChatMessage) (string, error) {
+	if len(messages) == 0 {
+		return "", invalid("field messages", "at least one message", "[]")
+	}
+	var prompt strings.Builder
+	for i, message := range messages {
+		field := "field messages[" + strconv.Itoa(i) + "]"
+		if message.Role == "" {
+			return "", invalid(field+".role", "a role such as user", "")
+		}
+		text, err := contentOf(message.Content, field+".content")
+		if err != nil {
+			return "", err
+		}
+		prompt.WriteString(message.Role + ": " + text + "\n")
+	}
+	return prompt.String(), nil
+}
+
+func contentOf(raw json.RawMessage, field string) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var parts []ContentPart
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", invalid(field, "a text or a list of text parts", string(raw))
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return "", invalid(field+".type", "text", part.Type)
+		}
+		joined.WriteString(part.Text)
+	}
+	return joined.String(), nil
+}
+
+func plainPrompt(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil && text != "" {
+		return text, nil
+	}
+	var texts []string
+	if json.Unmarshal(raw, &texts) == nil && len(texts) == 1 {
+		return texts[0], nil
+	}
+	return "", invalid("field prompt", "a text, or a list of one text", string(raw))
+}
+
+func (entry *entry) handleModel(writer http.ResponseWriter, request *http.Request, model modelRequest) {
+	if model.model == "" {
+		entry.refuse(writer, model.call, invalid("field model", "a model name", ""))
+		return
+	}
+	if model.maxTokens < 0 || model.maxTokens > maxMaxTokens {
+		entry.refuse(writer, model.call, invalid("field max_tokens", "a whole number from 1 to "+strconv.Itoa(maxMaxTokens), strconv.Itoa(model.maxTokens)))
+		return
+	}
+	if model.maxTokens == 0 {
+		model.maxTokens = defaultMaxTokens
+	}
+	entry.metrics.count("model_requests")
+	responder := newResponder(writer, model)
+	end, err := entry.dispatch(request.Context(), model, responder.write)
+	entry.metrics.record(entry.metrics.whole, sinceStart(model.call))
+	responder.finish(end, err)
+}
--- /dev/null
+++ b/entry/server/plain.go
@@ -0,0 +1,314 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/deduplicator"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/messenger"
+	"github.com/cranberryward/cranberryward/pool"
+	"github.com/cranberryward/cranberryward/quarantiner"
+	"github.com/cranberryward/cranberryward/router"
+	"github.com/gorilla/mux"
+)
+
+const (
+	servicesPrefix = "/services/"
+	homesTimeout   = time.Second
+	homeRetryDelay = 150 * time.Millisecond
+)
+
+var hopHeaders = map[string]bool{
+	"Connection":        true,
+	"Keep-Alive":        true,
+	"Te":                true,
+	"Trailer":           true,
+	"Transfer-Encoding": true,
+	"Upgrade":           true,
+	"Content-Length":    true,
+	"Host":              true,
+}
+
+// homeTables keeps the newest known table of key homes of each service.
+type homeTables struct {
+	mutex  sync.Mutex
+	tables map[string]deduplicator.Table
+}
+
+func newHomeTables() *homeTables {
+	return &homeTables{
+		tables: map[string]deduplicator.Table{},
+	}
+}
+
+func (homeTables *homeTables) get(service string) deduplicator.Table {
+	homeTables.mutex.Lock()
+	defer homeTables.mutex.Unlock()
+	return homeTables.tables[service]
+}
+
+func (homeTables *homeTables) put(table deduplicator.Table) {
+	homeTables.mutex.Lock()
+	defer homeTables.mutex.Unlock()
+	if table.Epoch > homeTables.tables[table.Service].Epoch {
+		homeTables.tables[table.Service] = table
+	}
+}
+
+// plainCall is one call of a plain service on its way through the entry.
+type plainCall struct {
+	entry       *entry
+	call        callContext
+	service     Service
+	request     cranberryward.ServiceCall
+	fingerprint string
+	tried       map[string]bool
+	mayHaveRun  bool
+	attempts    int
+}
+
+func (entry *entry) handleService(writer http.ResponseWriter, request *http.Request) {
+	call, err := entry.contextOf(request)
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	plain, err := entry.newPlainCall(writer, request, call)
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	entry.metrics.count("service_requests")
+	entry.retries.Deposit()
+	ctx, cancel := context.WithTimeout(request.Context(), call.deadline)
+	defer cancel()
+	answer, err := plain.run(ctx)
+	_ = entry.logger.Log("event", "service_request", "request_id", call.requestID, "workspace", call.workspace, "service", plain.service.name,
+		"verdict", cranberryward.VerdictOf(err), "attempts", plain.attempts, "took_ms", sinceStart(call).Milliseconds(),
+		"revision", entry.holder.Revision(), "error", err)
+	entry.metrics.record(entry.metrics.whole, sinceStart(call))
+	if err != nil {
+		entry.refuse(writer, call, err)
+		return
+	}
+	writeServiceAnswer(writer, call, answer)
+}
+
+func writeServiceAnswer(writer http.ResponseWriter, call callContext, answer cranberryward.ServiceAnswer) {
+	for name, values := range answer.Header {
+		if !hopHeaders[name] {
+			writer.Header()[name] = values
+		}
+	}
+	writer.Header().Set(cranberryward.HeaderRequestID, call.requestID)
+	writer.Header().Set(cranberryward.HeaderVerdict, cranberryward.Ran.String())
+	writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	writer.WriteHeader(answer.Status)
+	_, _ = writer.Write(answer.Body)
+}
+
+func (entry *entry) newPlainCall(writer http.ResponseWriter, request *http.Request, call callContext) (*plainCall, error) {
+	name := mux.Vars(request)["service"]
+	path := strings.TrimPrefix(request.URL.EscapedPath(), servicesPrefix+name)
+	plain := &plainCall{
+		entry: entry,
+		call:  call,
+		tried: map[string]bool{},
+	}
+	known := false
+	for _, service := range entry.settings.Services {
+		if service.name == name {
+			plain.service = service
+			known = true
+		}
+	}
+	if !known {
+		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNotFound, "no service "+strconv.Quote(name)+" is configured").WithResend(false)
+	}
+	body, err := listener.ReadBody(writer, request, int64(entry.settings.MaxBody))
+	if err != nil {
+		return nil, err
+	}
+	plain.request = cranberryward.ServiceCall{
+		RequestID:  call.requestID,
+		Workspace:  call.workspace,
+		Service:    name,
+		Method:     request.Method,
+		Path:       path,
+		Query:      request.URL.RawQuery,
+		Header:     passedOn(request.Header),
+		Body:       body,
+		Key:        call.key,
+		Idempotent: plain.service.Idempotent(request.Method, path),
+	}
+	plain.fingerprint = quarantiner.Fingerprint(call.workspace, request.Method, path, request.URL.RawQuery, string(body))
+	if !plain.request.Idempotent && call.key == "" {
+		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonKeyRequired,
+			"header "+cranberryward.HeaderIdempotencyKey+": expected a key, because "+request.Method+" "+path+" is not idempotent; POST /v1/idempotency-keys makes one").WithResend(false)
+	}
+	return plain, nil
+}
+
+func passedOn(header http.Header) map[string][]string {
+	passed := map[string][]string{}
+	for name, values := range header {
+		if !hopHeaders[name] && !strings.HasPrefix(name, "Cranberryward-") {
+			passed[name] = values
+		}
+	}
+	return passed
+}
+
+func (plainCall *plainCall) run(ctx context.Context) (cranberryward.ServiceAnswer, error) {
+	entry := plainCall.entry
+	if entry.holder.Effect().Crashes(plainCall.fingerprint) >= entry.settings.MaxCrashes {
+		return cranberryward.ServiceAnswer{}, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonQuarantined,
+			"the request has crashed backend servers and is quarantined").WithResend(false)
+	}
+	if plainCall.request.Idempotent {
+		return plainCall.runIdempotent(ctx)
+	}
+	return plainCall.runAtHome(ctx)
+}
+
+func (plainCall *plainCall) send(ctx context.Context, instance cranberryward.Instance, ticket *pool.Ticket) (cranberryward.ServiceAnswer, error) {
+	plainCall.attempts++
+	answer, result, err := plainCall.entry.agents.callService(ctx, instance.Address, plainCall.request, plainCall.call.priority,
+		plainCall.call.left(), plainCall.entry.holder.Revision())
+	if ticket != nil {
+		ticket.Finish(err, answer.load, answer.reported)
+	}
+	plainCall.mayHaveRun = plainCall.mayHaveRun || cranberryward.VerdictOf(err) == cranberryward.MayHaveRun
+	if err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonCrashed {
+		plainCall.entry.recordCrash(ctx, plainCall.fingerprint)
+	}
+	return result, err
+}
+
+// runIdempotent tries other backend servers as long as attempts, budget and deadline allow.
+func (plainCall *plainCall) runIdempotent(ctx context.Context) (cranberryward.ServiceAnswer, error) {
+	entry := plainCall.entry
+	for {
+		instance, ticket, err := plainCall.choose(ctx)
+		if err != nil {
+			return cranberryward.ServiceAnswer{}, plainCall.honest(err)
+		}
+		plainCall.tried[instance.ID] = true
+		answer, err := plainCall.send(ctx, instance, ticket)
+		if err == nil {
+			return answer, nil
+		}
+		reason := cranberryward.FailureOf(err).Reason()
+		free := reason == cranberryward.ReasonLeaving || reason == cranberryward.ReasonStopping
+		if ctx.Err() != nil || reason == cranberryward.ReasonQuarantined || plainCall.attempts >= entry.settings.Attempts || !free && !entry.retries.Withdraw() {
+			return answer, plainCall.honest(err)
+		}
+	}
+}
+
+// honest raises the verdict of a last failure to that of the attempts before it.
+func (plainCall *plainCall) honest(err error) error {
+	failure := cranberryward.FailureOf(err)
+	if !plainCall.mayHaveRun || failure.Verdict() == cranberryward.MayHaveRun {
+		return err
+	}
+	return cranberryward.NewFailure(cranberryward.MayHaveRun, failure.Reason(), failure.Message()).
+		WithCause(err).WithResend(true).WithRetryAfter(failure.RetryAfter())
+}
+
+func (plainCall *plainCall) choose(ctx context.Context) (cranberryward.Instance, *pool.Ticket, error) {
+	entry, effect := plainCall.entry, plainCall.entry.holder.Effect()
+	forbidden := func(id string) bool { return plainCall.tried[id] || effect.Leaving(id) }
+	request := router.NewRequest(nil, len(plainCall.request.Body), plainCall.call.priority, plainCall.call.left())
+	if pool, ok := entry.pools.find(servicePool(plainCall.service.name)); ok {
+		if ticket, found := pool.Choose(request, forbidden); found {
+			plainCall.logRoute(ticket.Instance().ID, "own_zone", ticket.Choice())
+			return ticket.Instance(), ticket, nil
+		}
+	}
+	instance, found := entry.elsewhere(ctx, forbidden, func(instance cranberryward.Instance) bool {
+		return instance.Role == cranberryward.RoleService && instance.Service == plainCall.service.name
+	})
+	if !found {
+		return instance, nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNoBackendServer,
+			"no backend server can take a call of "+plainCall.service.name).WithRetryAfter(time.Second)
+	}
+	plainCall.logRoute(instance.ID, "other_zone", router.Choice{})
+	return instance, nil, nil
+}
+
+func (plainCall *plainCall) logRoute(chosen, why string, choice router.Choice) {
+	age, _ := plainCall.entry.holder.Age()
+	_ = plainCall.entry.logger.Log("event", "route", "request_id", plainCall.call.requestID, "workspace", plainCall.call.workspace,
+		"chosen", chosen, "why", why, "load_age_ms", choice.ReportAge().Milliseconds(), "configuration_age_ms", age.Milliseconds(),
+		"revision", plainCall.entry.holder.Revision())
+}
+
+// runAtHome asks the home of the key, and asks again as long as the deadline allows, which is safe because the home remembers the key.
+func (plainCall *plainCall) runAtHome(ctx context.Context) (cranberryward.ServiceAnswer, error) {
+	shard := deduplicator.ShardOf(plainCall.call.key)
+	for {
+		home := plainCall.entry.homes.get(plainCall.service.name).Homes[shard]
+		err := error(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonHomeUnconfirmed, "the home of the key is not known").WithRetryAfter(time.Second))
+		if home.Instance != "" {
+			plainCall.logRoute(home.Instance, "key_home", router.Choice{})
+			var answer cranberryward.ServiceAnswer
+			answer, err = plainCall.send(ctx, cranberryward.Instance{
+				ID:      home.Instance,
+				Address: home.Address,
+			}, nil)
+			if err == nil {
+				return answer, nil
+			}
+		}
+		if !plainCall.mayAskAgain(ctx, err) {
+			return cranberryward.ServiceAnswer{}, plainCall.honest(err)
+		}
+		plainCall.entry.refreshHomes(ctx, plainCall.service.name)
+		pause(ctx, homeRetryDelay)
+	}
+}
+
+func (plainCall *plainCall) mayAskAgain(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || plainCall.call.left() < 2*homeRetryDelay {
+		return false
+	}
+	switch cranberryward.FailureOf(err).Reason() {
+	case cranberryward.ReasonHomeUnconfirmed, cranberryward.ReasonStopping, cranberryward.ReasonLeaving:
+		return true
+	case cranberryward.ReasonUnreachable, cranberryward.ReasonBroken:
+		return plainCall.entry.retries.Withdraw()
+	}
+	return false
+}
+
+// refreshHomes asks the service's agents for the newest table of key homes.
+func (entry *entry) refreshHomes(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, homesTimeout)
+	defer cancel()
+	agents := entry.holder.Membership().Select(func(instance cranberryward.Instance) bool { return instance.Service == service })
+	if all, err := entry.allZones(ctx); err == nil {
+		agents = append(agents, all.Select(func(instance cranberryward.Instance) bool { return instance.Service == service })...)
+	}
+	var group sync.WaitGroup
+	seen := map[string]bool{}
+	for _, agent := range agents {
+		if seen[agent.ID] {
+			continue
+		}
+		seen[agent.ID] = true
+		group.Go(func() {
+			var table deduplicator.Table
+			if entry.client.Call(ctx, agent.PeerAddress, "Agent.Homes", messenger.HomesRequest{}, &table) == nil {
+				entry.homes.put(table)
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/headers.go
@@ -0,0 +1,16 @@
+package cranberryward
+
+// The headers that callers and processes exchange, documented in docs/INTERFACES.md.
+const (
+	HeaderWorkspace      = "Cranberryward-Workspace"
+	HeaderPriority       = "Cranberryward-Priority"
+	HeaderDeadline       = "Cranberryward-Deadline"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "Cranberryward-Request-Id"
+	HeaderRevision       = "Cranberryward-Revision"
+	HeaderPeer           = "Cranberryward-Peer"
+	HeaderLoad           = "Cranberryward-Load"
+	HeaderVerdict        = "Cranberryward-Verdict"
+	HeaderIncarnation    = "Cranberryward-Incarnation"
+	HeaderFirstAnswer    = "Cranberryward-First-Answer"
+)
--- /dev/null
+++ b/leaser/lease.go
@@ -0,0 +1,161 @@
+package leaser
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/charter"
+	"github.com/go-kit/log"
+)
+
+const (
+	eventAcquire    = charter.Event("acquire")
+	eventGranted    = charter.Event("granted")
+	eventDenied     = charter.Event("denied")
+	eventRenewed    = charter.Event("renewed")
+	eventUnanswered = charter.Event("unanswered")
+	eventLapse      = charter.Event("lapse")
+	eventRelease    = charter.Event("release")
+
+	renewalsPerLease = 3
+	marginShare      = 4
+)
+
+var chart = charter.MustLoad("lease", eventAcquire, eventGranted, eventDenied, eventRenewed, eventUnanswered, eventLapse, eventRelease)
+
+// Lease is the right to act on one key, held by one process at a time and checked on the own clock.
+type Lease struct {
+	store   cranberryward.KeyValueStore
+	key     string
+	holder  string
+	ttl     time.Duration
+	logger  log.Logger
+	mutex   sync.Mutex
+	machine charter.Machine
+	lease   cranberryward.LeaseID
+	fencing uint64
+	until   time.Time
+}
+
+// New returns a lease on a key that is not held yet.
+func New(store cranberryward.KeyValueStore, key, holder string, ttl time.Duration, logger log.Logger) *Lease {
+	return &Lease{
+		store:   store,
+		key:     key,
+		holder:  holder,
+		ttl:     ttl,
+		logger:  logger,
+		machine: chart.Start(),
+	}
+}
+
+// Held returns the fencing number while the lease is certainly held, less a margin for orders under way.
+func (lease *Lease) Held() (fencing uint64, held bool) {
+	lease.mutex.Lock()
+	defer lease.mutex.Unlock()
+	if lease.fencing == 0 || time.Until(lease.until) < lease.ttl/marginShare {
+		return 0, false
+	}
+	return lease.fencing, true
+}
+
+// Run acquires and renews the lease until the context ends, then hands it back.
+func (lease *Lease) Run(ctx context.Context) {
+	ticker := time.NewTicker(lease.ttl / renewalsPerLease)
+	defer ticker.Stop()
+	for {
+		lease.Step(ctx)
+		select {
+		case <-ctx.Done():
+			lease.handBack()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Step acquires the lease or renews it, once.
+func (lease *Lease) Step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lease.ttl/renewalsPerLease)
+	defer cancel()
+	lease.mutex.Lock()
+	if lease.fencing != 0 && time.Until(lease.until) <= 0 {
+		lease.fire(eventLapse)
+		lease.fire(eventRelease)
+		lease.fencing = 0
+	}
+	held, id := lease.fencing != 0, lease.lease
+	lease.mutex.Unlock()
+	if held {
+		lease.renew(ctx, id)
+		return
+	}
+	lease.acquire(ctx)
+}
+
+func (lease *Lease) fire(event charter.Event) {
+	if err := lease.machine.Fire(event); err != nil {
+		_ = lease.logger.Log("event", "state_fault", "error", err)
+	}
+}
+
+func (lease *Lease) renew(ctx context.Context, id cranberryward.LeaseID) {
+	sent := time.Now()
+	err := lease.store.KeepAlive(ctx, id)
+	lease.mutex.Lock()
+	defer lease.mutex.Unlock()
+	switch {
+	case err == nil:
+		lease.fire(eventRenewed)
+		lease.until = sent.Add(lease.ttl)
+	case cranberryward.FailureOf(err).Reason() == cranberryward.ReasonNotFound:
+		lease.fire(eventLapse)
+		lease.fire(eventRelease)
+		lease.fencing = 0
+		_ = lease.logger.Log("event", "lease_lost", "lease", lease.key)
+	default:
+		lease.fire(eventUnanswered)
+	}
+}
+
+func (lease *Lease) acquire(ctx context.Context) {
+	present, err := lease.store.Get(ctx, lease.key)
+	if err != nil || present.Exists() {
+		return
+	}
+	lease.mutex.Lock()
+	lease.fire(eventAcquire)
+	lease.mutex.Unlock()
+	sent := time.Now()
+	id, err := lease.store.GrantLease(ctx, lease.ttl)
+	var record cranberryward.Record
+	if err == nil {
+		record, err = lease.store.CompareAndSwap(ctx, lease.key, []byte(lease.holder), 0, id)
+	}
+	lease.mutex.Lock()
+	defer lease.mutex.Unlock()
+	if err != nil {
+		// A grant whose answer was lost lapses by itself, because nobody keeps it alive.
+		lease.fire(eventDenied)
+		return
+	}
+	lease.fire(eventGranted)
+	lease.lease = id
+	lease.fencing = record.Revision
+	lease.until = sent.Add(lease.ttl)
+	_ = lease.logger.Log("event", "lease_acquired", "lease", lease.key, "fencing", lease.fencing)
+}
+
+func (lease *Lease) handBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), lease.ttl/renewalsPerLease)
+	defer cancel()
+	lease.mutex.Lock()
+	id, held := lease.lease, lease.fencing != 0
+	lease.fencing = 0
+	lease.mutex.Unlock()
+	if held {
+		_ = lease.store.RevokeLease(ctx, id)
+	}
+}
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,255 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+const (
+	environmentPrefix = "CRANBERRYWARD_"
+	hiddenValue       = "(hidden)"
+)
+
+type setting struct {
+	name     string
+	usage    string
+	unit     string
+	fallback string
+	value    string
+	source   string
+	secret   bool
+	set      func(value string) (expected string)
+}
+
+// Loader collects the settings of one program.
+type Loader struct {
+	program  string
+	purpose  string
+	version  string
+	settings []*setting
+	print    bool
+}
+
+// New returns a loader for a program with its purpose in one line.
+func New(program, purpose, version string) *Loader {
+	return &Loader{
+		program: program,
+		purpose: purpose,
+		version: version,
+	}
+}
+
+// Fault is one setting with a value that is not as expected.
+type Fault struct {
+	name     string
+	value    string
+	expected string
+	source   string
+}
+
+// Error returns the fault on one line.
+func (fault Fault) Error() string {
+	return fmt.Sprintf("setting %s: expected %s, found %q (from %s)", fault.name, fault.expected, fault.value, fault.source)
+}
+
+// Faults are all faults of a program's settings.
+type Faults []Fault
+
+// Error returns the faults, one a line.
+func (faults Faults) Error() string {
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (loader *Loader) add(name, unit, fallback, usage string, set func(string) string) *setting {
+	added := &setting{
+		name:     name,
+		usage:    usage,
+		unit:     unit,
+		fallback: fallback,
+		set:      set,
+	}
+	loader.settings = append(loader.settings, added)
+	return added
+}
+
+// Text adds a setting that may be any text.
+func (loader *Loader) Text(target *string, name, fallback, usage string) {
+	loader.add(name, "text", fallback, usage, func(value string) string {
+		*target = value
+		return ""
+	})
+}
+
+// Required adds a setting that must not be empty.
+func (loader *Loader) Required(target *string, name, usage string) {
+	loader.add(name, "text", "", usage, func(value string) string {
+		*target = value
+		if value == "" {
+			return "a value"
+		}
+		return ""
+	})
+}
+
+// Secret adds a setting that must not be empty and is never shown.
+func (loader *Loader) Secret(target *string, name, usage string) {
+	loader.Required(target, name, usage)
+	loader.settings[len(loader.settings)-1].secret = true
+}
+
+// Address adds a setting that is an IP address with a port.
+func (loader *Loader) Address(target *string, name, fallback, usage string) {
+	loader.add(name, "IP:port", fallback, usage, func(value string) string {
+		*target = value
+		host, port, err := net.SplitHostPort(value)
+		number, portErr := strconv.Atoi(port)
+		if err != nil || net.ParseIP(host) == nil || portErr != nil || number < 0 || number > 65535 {
+			return "an IP address with a port, such as 127.0.0.1:8080"
+		}
+		return ""
+	})
+}
+
+// Duration adds a setting that is a time with a unit between two bounds.
+func (loader *Loader) Duration(target *time.Duration, name string, fallback, minimum, maximum time.Duration, usage string) {
+	loader.add(name, "duration", fallback.String(), usage, func(value string) string {
+		parsed, err := time.ParseDuration(value)
+		*target = parsed
+		if err != nil || parsed < minimum || parsed > maximum {
+			return fmt.Sprintf("a duration with a unit from %v to %v, such as 3s", minimum, maximum)
+		}
+		return ""
+	})
+}
+
+// Number adds a setting that is a whole number between two bounds.
+func (loader *Loader) Number(target *int, name string, fallback, minimum, maximum int, unit, usage string) {
+	loader.add(name, unit, strconv.Itoa(fallback), usage, func(value string) string {
+		parsed, err := strconv.Atoi(value)
+		*target = parsed
+		if err != nil || parsed < minimum || parsed > maximum {
+			return fmt.Sprintf("a whole number of %s from %d to %d", unit, minimum, maximum)
+		}
+		return ""
+	})
+}
+
+// Choice adds a setting that is one of a few words.
+func (loader *Loader) Choice(target *string, name, fallback, usage string, words ...string) {
+	loader.add(name, strings.Join(words, "|"), fallback, usage, func(value string) string {
+		*target = value
+		for _, word := range words {
+			if word == value {
+				return ""
+			}
+		}
+		return "one of " + strings.Join(words, ", ")
+	})
+}
+
+// Parsed adds a setting that a function reads, which returns what it expected when the value is wrong.
+func (loader *Loader) Parsed(name, unit, fallback, usage string, set func(value string) (expected string)) {
+	loader.add(name, unit, fallback, usage, set)
+}
+
+// Load reads the arguments and then, for what they leave open, the environment.
+func (loader *Loader) Load(arguments []string, lookup func(string) (string, bool)) error {
+	parser := flaggy.NewParser(loader.program)
+	parser.Description = loader.purpose
+	parser.Version = loader.version
+	parser.ShowCompletion = false
+	for _, setting := range loader.settings {
+		parser.String(&setting.value, "", setting.name, fmt.Sprintf("%s [%s] (default %q, environment %s)",
+			setting.usage, setting.unit, setting.fallback, environmentName(setting.name)))
+	}
+	parser.Bool(&loader.print, "", "print-settings", "Print the effective settings, secrets hidden, and exit")
+	if err := parser.ParseArgs(arguments); err != nil {
+		return Faults{{
+			name:     "arguments",
+			value:    strings.Join(arguments, " "),
+			expected: "flags as --help lists them (" + err.Error() + ")",
+			source:   "command line",
+		}}
+	}
+	var faults Faults
+	for _, setting := range loader.settings {
+		setting.resolve(lookup)
+		if expected := setting.set(setting.value); expected != "" {
+			faults = append(faults, Fault{
+				name:     setting.name,
+				value:    setting.shown(),
+				expected: expected,
+				source:   setting.source,
+			})
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+func (setting *setting) resolve(lookup func(string) (string, bool)) {
+	setting.source = "flag"
+	if setting.value != "" {
+		return
+	}
+	if value, ok := lookup(environmentName(setting.name)); ok {
+		setting.value = value
+		setting.source = "environment " + environmentName(setting.name)
+		return
+	}
+	setting.value = setting.fallback
+	setting.source = "default"
+}
+
+func (setting *setting) shown() string {
+	if setting.secret && setting.value != "" {
+		return hiddenValue
+	}
+	return setting.value
+}
+
+func environmentName(name string) string {
+	return environmentPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
+
+// WantsPrint returns whether the effective settings were asked for.
+func (loader *Loader) WantsPrint() bool { return loader.print }
+
+// Print writes the effective settings, one a line, with secrets hidden.
+func (loader *Loader) Print(writer io.Writer) {
+	settings := append([]*setting(nil), loader.settings...)
+	sort.Slice(settings, func(i, j int) bool { return settings[i].name < settings[j].name })
+	for _, setting := range settings {
+		_, _ = fmt.Fprintf(writer, "%s=%q source=%q\n", setting.name, setting.shown(), setting.source)
+	}
+}
+
+// Main loads the settings of a program from its command line and returns false when the program should exit with the code.
+func (loader *Loader) Main() (code int, run bool) {
+	if err := loader.Load(os.Args[1:], os.LookupEnv); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return ExitUsage, false
+	}
+	if loader.print {
+		loader.Print(os.Stdout)
+		return 0, false
+	}
+	return 0, true
+}
+
+// ExitUsage is the exit code for wrong settings or arguments.
+const ExitUsage = 2
--- /dev/null
+++ b/message_engine.go
@@ -0,0 +1,133 @@
+package cranberryward
+
+// GenerateRequest asks a model engine for one streamed answer.
+type GenerateRequest struct {
+	RequestID  string `json:"request_id"`
+	Model      string `json:"model"`
+	Version    string `json:"version,omitempty"`
+	Workspace  string `json:"workspace"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  int    `json:"max_tokens"`
+	Priority   int    `json:"priority"`
+	DeadlineMS int64  `json:"deadline_ms"`
+}
+
+// Frame is one piece of a streamed answer, placed by its byte offset and closed by a frame with an end mark.
+type Frame struct {
+	RequestID string       `json:"id"`
+	Offset    int          `json:"off"`
+	Text      string       `json:"t,omitempty"`
+	End       *FrameEnd    `json:"end,omitempty"`
+	Error     *ErrorDetail `json:"error,omitempty"`
+}
+
+// FrameEnd closes an answer and states its whole length in bytes.
+type FrameEnd struct {
+	FinishReason     string `json:"finish_reason"`
+	Length           int    `json:"length"`
+	PromptTokens     int    `json:"prompt_tokens"`
+	CompletionTokens int    `json:"completion_tokens"`
+	CachedTokens     int    `json:"cached_tokens"`
+}
+
+// EngineLoad is the lagging load report of one model engine.
+type EngineLoad struct {
+	Running       int         `json:"running"`
+	Queued        int         `json:"queued"`
+	QueuedTokens  int         `json:"queued_tokens"`
+	Step          uint64      `json:"step"`
+	StepMicros    int64       `json:"step_micros"`
+	MapVersion    uint64      `json:"map_version"`
+	AgeMS         int64       `json:"age_ms"`
+	Incarnation   string      `json:"incarnation"`
+	ExpertLoads   [][]float32 `json:"expert_loads,omitempty"`
+	CacheSequence uint64      `json:"cache_sequence"`
+}
+
+// CacheEvent tells that prompt blocks were stored in or removed from an engine's prefix cache.
+type CacheEvent struct {
+	Sequence uint64   `json:"sequence"`
+	Stored   []uint64 `json:"stored,omitempty"`
+	Removed  []uint64 `json:"removed,omitempty"`
+}
+
+// CacheEvents is a page of cache events, or the whole cache content after a gap.
+type CacheEvents struct {
+	Events   []CacheEvent `json:"events"`
+	Resync   bool         `json:"resync"`
+	Blocks   []uint64     `json:"blocks,omitempty"`
+	Sequence uint64       `json:"sequence"`
+}
+
+// RankState is the present state of one rank of a lock-step group.
+type RankState struct {
+	Step        uint64   `json:"step"`
+	Held        bool     `json:"held"`
+	HeldStep    uint64   `json:"held_step"`
+	MapVersion  uint64   `json:"map_version"`
+	Prepared    []uint64 `json:"prepared"`
+	Incarnation string   `json:"incarnation"`
+	Fencing     uint64   `json:"fencing"`
+	Versions    []string `json:"versions,omitempty"`
+}
+
+// HasPrepared returns whether the weights of the expert map version are loaded.
+func (state RankState) HasPrepared(version uint64) bool {
+	for _, prepared := range state.Prepared {
+		if prepared == version {
+			return true
+		}
+	}
+	return false
+}
+
+// OrderKind names what an order asks of a model engine.
+type OrderKind string
+
+// The orders that a model engine accepts.
+const (
+	OrderPrepare   OrderKind = "prepare"
+	OrderDiscard   OrderKind = "discard"
+	OrderHold      OrderKind = "hold"
+	OrderSwitch    OrderKind = "switch"
+	OrderRelease   OrderKind = "release"
+	OrderLoadModel OrderKind = "load_model"
+	OrderRole      OrderKind = "role"
+)
+
+// Order asks a model engine to change its state, bound to a step where it concerns the lock-step.
+type Order struct {
+	Kind    OrderKind `json:"kind"`
+	Group   string    `json:"group"`
+	Fencing uint64    `json:"fencing"`
+	Version uint64    `json:"version,omitempty"`
+	Step    uint64    `json:"step,omitempty"`
+	Map     ExpertMap `json:"map,omitzero"`
+	Model   string    `json:"model,omitempty"`
+	Name    string    `json:"name,omitempty"`
+}
+
+// ExpertMap places the experts of each layer on the ranks of a group.
+type ExpertMap struct {
+	Version uint64    `json:"version"`
+	Ranks   int       `json:"ranks"`
+	Layers  [][][]int `json:"layers"`
+}
+
+// IsZero returns whether the map places nothing.
+func (expertMap ExpertMap) IsZero() bool { return len(expertMap.Layers) == 0 }
+
+// StepRecord is one line of an engine's step log.
+type StepRecord struct {
+	Step       uint64 `json:"step"`
+	Rank       int    `json:"rank"`
+	MapVersion uint64 `json:"map_version"`
+}
+
+// Execution is one line of a backend server's execution log.
+type Execution struct {
+	RequestID string `json:"request_id"`
+	Key       string `json:"key,omitempty"`
+	Text      string `json:"text"`
+	Finished  bool   `json:"finished"`
+}
--- /dev/null
+++ b/message_error.go
@@ -0,0 +1,45 @@
+package cranberryward
+
+import "time"
+
+// ErrorMessage is the JSON body of every answer that is not a success.
+type ErrorMessage struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail tells the caller what happened, whether the request may have run and whether to send it again.
+type ErrorDetail struct {
+	Message       string   `json:"message"`
+	Type          string   `json:"type"`
+	Code          Reason   `json:"code"`
+	Verdict       string   `json:"verdict"`
+	Resend        bool     `json:"resend"`
+	RetryAfterMS  int64    `json:"retry_after_ms"`
+	RequestID     string   `json:"request_id,omitempty"`
+	Details       []string `json:"details,omitempty"`
+	SubmissionID  string   `json:"submission_id,omitempty"`
+	SheetRevision uint64   `json:"sheet_revision,omitempty"`
+}
+
+// NewErrorMessage returns the message that stands for an error.
+func NewErrorMessage(err error, requestID string) ErrorMessage {
+	failure := FailureOf(err)
+	return ErrorMessage{
+		Error: ErrorDetail{
+			Message:      failure.Error(),
+			Type:         "cranberryward_error",
+			Code:         failure.reason,
+			Verdict:      failure.verdict.String(),
+			Resend:       failure.resend,
+			RetryAfterMS: failure.retryAfter.Milliseconds(),
+			RequestID:    requestID,
+		},
+	}
+}
+
+// Failure returns the failure that the message stands for.
+func (message ErrorMessage) Failure() *Failure {
+	return NewFailure(ParseVerdict(message.Error.Verdict), message.Error.Code, message.Error.Message).
+		WithResend(message.Error.Resend).
+		WithRetryAfter(time.Duration(message.Error.RetryAfterMS) * time.Millisecond)
+}
--- /dev/null
+++ b/message_service.go
@@ -0,0 +1,22 @@
+package cranberryward
+
+// ServiceCall is one call of a plain service, passed through with its method and body.
+type ServiceCall struct {
+	RequestID  string              `json:"request_id"`
+	Workspace  string              `json:"workspace"`
+	Service    string              `json:"service"`
+	Method     string              `json:"method"`
+	Path       string              `json:"path"`
+	Query      string              `json:"query,omitempty"`
+	Header     map[string][]string `json:"header,omitempty"`
+	Body       []byte              `json:"body,omitempty"`
+	Key        string              `json:"key,omitempty"`
+	Idempotent bool                `json:"idempotent"`
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	Status int                 `json:"status"`
+	Header map[string][]string `json:"header,omitempty"`
+	Body   []byte              `json:"body,omitempty"`
+}
--- /dev/null
+++ b/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger holds the messages that entries and agents exchange.
+package messenger
--- /dev/null
+++ b/messenger/load.go
@@ -0,0 +1,36 @@
+package messenger
+
+import (
+	"strconv"
+	"strings"
+)
+
+const loadFields = 4
+
+// EncodeLoad returns a load as the value of a header.
+func EncodeLoad(load Load) string {
+	fields := []string{strconv.Itoa(load.InFlight), strconv.Itoa(load.Queued), strconv.Itoa(load.Limit), strconv.Itoa(load.PrefillBytes)}
+	return strings.Join(fields, " ")
+}
+
+// DecodeLoad returns the load in the value of a header, and false when it is not one.
+func DecodeLoad(value string) (Load, bool) {
+	fields := strings.Fields(value)
+	if len(fields) != loadFields {
+		return Load{}, false
+	}
+	var numbers [loadFields]int
+	for i, field := range fields {
+		number, err := strconv.Atoi(field)
+		if err != nil {
+			return Load{}, false
+		}
+		numbers[i] = number
+	}
+	return Load{
+		InFlight:     numbers[0],
+		Queued:       numbers[1],
+		Limit:        numbers[2],
+		PrefillBytes: numbers[3],
+	}, true
+}
--- /dev/null
+++ b/parser/sheet_test.go
@@ -0,0 +1,82 @@
+package parser
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/google/go-cmp/cmp"
+)
+
+const goodSheet = `kind,name,zone,start,end,time_zone,value,note
+quiet_window,night,*,22:00,06:00,America/Guayaquil,,court order
+workspace_priority,tutorías,,,,,9,
+leaving,a-engine-3,,,,,,
+model_versions,calls,,,,,v1 v2,
+`
+
+func TestParseSheetForms(t *testing.T) {
+	want, faults := ParseSheet([]byte(goodSheet))
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	if want.Priorities[0].Workspace != "tutorías" || len(want.ModelVersions[0].Versions) != 2 {
+		t.Fatalf("%+v", want)
+	}
+	cases := map[string]string{
+		"byte-order mark":      "\ufeff" + goodSheet,
+		"CRLF":                 strings.ReplaceAll(goodSheet, "\n", "\r\n"),
+		"semicolons":           strings.ReplaceAll(goodSheet, ",", ";"),
+		"trailing empty cells": strings.ReplaceAll(goodSheet, "\n", ",,,\n"),
+		"quoted fields":        strings.ReplaceAll(goodSheet, "night", `"night"`),
+		"blank rows":           goodSheet + "\n,,,,,,,\n\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, faults := ParseSheet([]byte(text))
+			if faults != nil {
+				t.Fatal(faults)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+func TestParseSheetReportsEveryFault(t *testing.T) {
+	sheet := `kind,name,start,end,time_zone,value
+quiet_window,night,22:00,6am,America/Guayaquil,
+workspace_priority,w,,,,11
+holiday,x,,,,
+quiet_window,day,08:00,09:00,Nowhere,
+`
+	_, faults := ParseSheet([]byte(sheet))
+	type place struct {
+		Row    int
+		Column string
+	}
+	var got []place
+	for _, fault := range faults {
+		got = append(got, place{
+			Row:    fault.Row(),
+			Column: fault.Column(),
+		})
+	}
+	want := []place{{2, "start"}, {3, "value"}, {4, "kind"}, {5, "time_zone"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func FuzzParseSheet(f *testing.F) {
+	f.Add([]byte(goodSheet))
+	f.Add([]byte("\xef\xbb\xbfkind;name\nleaving;x\n"))
+	f.Add([]byte("kind,name\nleaving,\"x\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		sheet, faults := ParseSheet(data)
+		if faults != nil && !cmp.Equal(sheet, cranberryward.Sheet{}) {
+			t.Fatal("a sheet with faults was returned")
+		}
+	})
+}
--- /dev/null
+++ b/planner/layer.go
@@ -0,0 +1,231 @@
+package planner
+
+import "math"
+
+const (
+	maxOperations  = 48
+	minImprovement = 1e-4
+)
+
+// operation replaces one replica, or exchanges two between ranks.
+type operation struct {
+	from, to       int
+	out, in        int
+	exchange       bool
+	slowest, score float64
+}
+
+func (operation operation) moves() int {
+	if operation.exchange {
+		return 2
+	}
+	return 1
+}
+
+type layer struct {
+	loads     []float64
+	placement [][]int
+	counts    []int
+	totals    []float64
+	mean      float64
+	present   []uint64
+	words     int
+}
+
+func newLayer(placement [][]int, loads []float64) *layer {
+	layer := &layer{
+		loads:     loads,
+		placement: make([][]int, len(placement)),
+		counts:    make([]int, len(loads)),
+		totals:    make([]float64, len(placement)),
+		words:     (len(loads) + 63) / 64,
+	}
+	layer.present = make([]uint64, layer.words*len(placement))
+	for rank, experts := range placement {
+		layer.placement[rank] = append([]int(nil), experts...)
+		for _, expert := range experts {
+			layer.counts[expert]++
+			layer.mark(rank, expert, true)
+		}
+	}
+	layer.sum()
+	return layer
+}
+
+func (layer *layer) mark(rank, expert int, held bool) {
+	word, bit := rank*layer.words+expert/64, uint64(1)<<(expert%64)
+	if held {
+		layer.present[word] |= bit
+	} else {
+		layer.present[word] &^= bit
+	}
+}
+
+func (layer *layer) holds(rank, expert int) bool {
+	return layer.present[rank*layer.words+expert/64]&(1<<(expert%64)) != 0
+}
+
+func (layer *layer) share(expert int) float64 {
+	return layer.loads[expert] / float64(layer.counts[expert])
+}
+
+func (layer *layer) sum() {
+	total := 0.0
+	for rank, experts := range layer.placement {
+		layer.totals[rank] = 0
+		for _, expert := range experts {
+			layer.totals[rank] += layer.share(expert)
+		}
+		total += layer.totals[rank]
+	}
+	layer.mean = total / float64(max(len(layer.placement), 1))
+}
+
+func (layer *layer) slowest() int {
+	worst := 0
+	for rank, total := range layer.totals {
+		if total > layer.totals[worst] {
+			worst = rank
+		}
+	}
+	return worst
+}
+
+func (layer *layer) skew() float64 {
+	if layer.mean <= 0 {
+		return 1
+	}
+	return layer.totals[layer.slowest()] / layer.mean
+}
+
+// best returns the operation that lowers the slowest rank the most for its moves.
+func (layer *layer) best() (operation, bool) {
+	worst := layer.slowest()
+	best := operation{}
+	found := false
+	consider := func(candidate operation) {
+		gain := layer.totals[worst] - candidate.slowest
+		if gain < minImprovement*layer.mean {
+			return
+		}
+		candidate.score = gain / float64(candidate.moves())
+		if !found || candidate.score > best.score {
+			best, found = candidate, true
+		}
+	}
+	for _, expert := range layer.placement[worst] {
+		for rank := range layer.placement {
+			if rank == worst || layer.holds(rank, expert) {
+				continue
+			}
+			layer.considerReplicas(worst, rank, expert, consider)
+			layer.considerExchanges(worst, rank, expert, consider)
+		}
+	}
+	return best, found
+}
+
+// considerReplicas weighs adding a replica of the expert on the rank in place of a replica that others hold too.
+func (layer *layer) considerReplicas(worst, rank, expert int, consider func(operation)) {
+	share := layer.share(expert)
+	added := layer.loads[expert] / float64(layer.counts[expert]+1)
+	relieved := layer.totals[worst] - share + added
+	for _, dropped := range layer.placement[rank] {
+		if layer.counts[dropped] < 2 {
+			continue
+		}
+		old := layer.share(dropped)
+		spread := layer.loads[dropped]/float64(layer.counts[dropped]-1) - old
+		slowest := layer.totals[rank] - old + added
+		after := relieved
+		if layer.holds(worst, dropped) {
+			after += spread
+		}
+		slowest = math.Max(slowest, after)
+		if slowest >= layer.totals[worst] {
+			continue
+		}
+		for holder := range layer.placement {
+			if holder != rank && holder != worst && layer.holds(holder, dropped) {
+				total := layer.totals[holder] + spread
+				if layer.holds(holder, expert) {
+					total += added - share
+				}
+				slowest = math.Max(slowest, total)
+			}
+		}
+		consider(operation{
+			from:    worst,
+			to:      rank,
+			in:      expert,
+			out:     dropped,
+			slowest: slowest,
+		})
+	}
+}
+
+func (layer *layer) considerExchanges(worst, rank, expert int, consider func(operation)) {
+	share := layer.share(expert)
+	for _, other := range layer.placement[rank] {
+		if layer.holds(worst, other) {
+			continue
+		}
+		back := layer.share(other)
+		if back >= share {
+			continue
+		}
+		consider(operation{
+			from:     worst,
+			to:       rank,
+			in:       expert,
+			out:      other,
+			exchange: true,
+			slowest:  math.Max(layer.totals[worst]-share+back, layer.totals[rank]-back+share),
+		})
+	}
+}
+
+func (layer *layer) apply(operation operation) {
+	layer.replace(operation.to, operation.out, operation.in)
+	if operation.exchange {
+		layer.replace(operation.from, operation.in, operation.out)
+	} else {
+		layer.counts[operation.in]++
+		layer.counts[operation.out]--
+	}
+	layer.sum()
+}
+
+func (layer *layer) replace(rank, out, in int) {
+	for i, expert := range layer.placement[rank] {
+		if expert == out {
+			layer.placement[rank][i] = in
+		}
+	}
+	layer.mark(rank, out, false)
+	layer.mark(rank, in, true)
+}
+
+// improve applies operations as long as the skew that they remove is worth their moves at the given price.
+func (layer *layer) improve(value, price float64) (moves int, gain float64) {
+	before := layer.skew()
+	var operations []operation
+	bestCount, bestMoves, bestNet := 0, 0, 0.0
+	trial := newLayer(layer.placement, layer.loads)
+	for len(operations) < maxOperations {
+		operation, found := trial.best()
+		if !found {
+			break
+		}
+		trial.apply(operation)
+		operations = append(operations, operation)
+		moves += operation.moves()
+		if net := value*(before-trial.skew()) - price*float64(moves); net > bestNet {
+			bestCount, bestMoves, bestNet = len(operations), moves, net
+		}
+	}
+	for _, operation := range operations[:bestCount] {
+		layer.apply(operation)
+	}
+	return bestMoves, before - layer.skew()
+}
--- /dev/null
+++ b/planner/message.go
@@ -0,0 +1,50 @@
+package planner
+
+// Weights are a user's weights on skew and on rebalancing cost.
+type Weights struct {
+	SkewValue      float64 `json:"skew_value"`
+	MovePrice      float64 `json:"move_price"`
+	ChangePrice    float64 `json:"change_price"`
+	HorizonSeconds float64 `json:"horizon_seconds"`
+	Smoothing      float64 `json:"smoothing"`
+	TrendDamping   float64 `json:"trend_damping"`
+}
+
+// ParlamigoWeights weigh the skew of steps most.
+func ParlamigoWeights() Weights {
+	return Weights{
+		SkewValue:      1,
+		MovePrice:      1.5,
+		ChangePrice:    2,
+		HorizonSeconds: 1800,
+		Smoothing:      0.4,
+		TrendDamping:   0.5,
+	}
+}
+
+// BrazosFlatsWeights weigh the cost of rebalancing most.
+func BrazosFlatsWeights() Weights {
+	return Weights{
+		SkewValue:      1,
+		MovePrice:      12,
+		ChangePrice:    40,
+		HorizonSeconds: 3600,
+		Smoothing:      0.3,
+		TrendDamping:   0.5,
+	}
+}
+
+// Move loads an expert's weights on a rank before a change, or discards them after it.
+type Move struct {
+	Layer   int  `json:"layer"`
+	Rank    int  `json:"rank"`
+	Expert  int  `json:"expert"`
+	Discard bool `json:"discard"`
+}
+
+// Report is what one rank reports of the experts' loads since its last report.
+type Report struct {
+	Rank     int         `json:"rank"`
+	Sequence uint64      `json:"sequence"`
+	Loads    [][]float32 `json:"loads"`
+}
--- /dev/null
+++ b/planner/plan.go
@@ -0,0 +1,265 @@
+package planner
+
+import (
+	"math"
+	"sort"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// Memory is what the ranks of a group can hold.
+type Memory struct {
+	SlotsPerLayer int   `json:"slots_per_layer"`
+	SparePerRank  int   `json:"spare_per_rank"`
+	ExpertBytes   int64 `json:"expert_bytes"`
+}
+
+// Situation is what a decision knows, with all times in seconds of the run.
+type Situation struct {
+	Second         float64                 `json:"second"`
+	Present        cranberryward.ExpertMap `json:"present"`
+	Memory         Memory                  `json:"memory"`
+	BytesPerSecond float64                 `json:"bytes_per_second"`
+	ChangeSeconds  float64                 `json:"change_seconds"`
+	Quiet          bool                    `json:"quiet"`
+	QuietFrom      float64                 `json:"quiet_from"`
+	QuietUntil     float64                 `json:"quiet_until"`
+	LostRanks      []bool                  `json:"lost_ranks,omitempty"`
+}
+
+// Decision is the outcome of a placement decision.
+type Decision struct {
+	keep       bool
+	reason     string
+	expertMap  cranberryward.ExpertMap
+	moves      []Move
+	skewBefore float64
+	skewAfter  float64
+}
+
+// Keep returns whether the present map stays.
+func (decision Decision) Keep() bool { return decision.keep }
+
+// Reason returns why the map stays or changes, in a few words.
+func (decision Decision) Reason() string { return decision.reason }
+
+// Map returns the map to run.
+func (decision Decision) Map() cranberryward.ExpertMap { return decision.expertMap }
+
+// Moves returns the loads before the change and then the discards after it, in order.
+func (decision Decision) Moves() []Move { return decision.moves }
+
+// SkewBefore returns the forecast skew of the present map.
+func (decision Decision) SkewBefore() float64 { return decision.skewBefore }
+
+// SkewAfter returns the forecast skew of the map to run.
+func (decision Decision) SkewAfter() float64 { return decision.skewAfter }
+
+// Loads returns how many experts' weights the decision loads.
+func (decision Decision) Loads() int {
+	loads := 0
+	for _, move := range decision.moves {
+		if !move.Discard {
+			loads++
+		}
+	}
+	return loads
+}
+
+func keepMap(situation Situation, reason string, skew float64) Decision {
+	return Decision{
+		keep:       true,
+		reason:     reason,
+		expertMap:  situation.Present,
+		skewBefore: skew,
+		skewAfter:  skew,
+	}
+}
+
+// Policy decides on the expert map of a group.
+type Policy interface {
+	// Decide returns the decision for a situation with what the estimator knows.
+	Decide(situation Situation, estimator *Estimator) Decision
+}
+
+// Paying changes the map where the skew removed is worth more than the weights moved, and holds still on noise.
+type Paying struct {
+	weights Weights
+}
+
+var _ Policy = Paying{}
+
+// NewPaying returns the policy with a user's weights.
+func NewPaying(weights Weights) Paying {
+	return Paying{
+		weights: weights,
+	}
+}
+
+type improved struct {
+	layer int
+	after *layer
+	moves int
+	net   float64
+	gain  float64
+}
+
+// Decide returns the decision for a situation with what the estimator knows.
+func (paying Paying) Decide(situation Situation, estimator *Estimator) Decision {
+	if anyLost(situation.LostRanks) {
+		return recover(situation, estimator)
+	}
+	if situation.Quiet {
+		return keepMap(situation, "a quiet window is open", 0)
+	}
+	if !estimator.Observed() {
+		return keepMap(situation, "no load has been reported", 0)
+	}
+	horizon := paying.weights.HorizonSeconds
+	from, until := situation.Second, situation.Second+horizon
+	budget := math.Inf(1)
+	if situation.QuietFrom > situation.Second {
+		left := situation.QuietFrom - situation.Second - situation.ChangeSeconds
+		if left <= 0 {
+			return keepMap(situation, "a quiet window opens before a change could end", 0)
+		}
+		budget = left * situation.BytesPerSecond
+		// The last change before a window has to serve until the window closes.
+		if situation.QuietFrom-situation.Second < horizon {
+			until = math.Max(until, situation.QuietUntil)
+			horizon = until - from
+		}
+	}
+	forecast := estimator.Forecast(situation.Second, from, until)
+	return paying.plan(situation, forecast, horizon, budget)
+}
+
+func (paying Paying) plan(situation Situation, forecast [][]float64, horizon, byteBudget float64) Decision {
+	layers := len(situation.Present.Layers)
+	value := paying.weights.SkewValue * horizon / float64(max(layers, 1))
+	price := paying.weights.MovePrice / float64(max(layers, 1)) * perMove(situation)
+	var changes []improved
+	var before float64
+	for i, placement := range situation.Present.Layers {
+		layer := newLayer(placement, forecast[i])
+		skew := layer.skew()
+		before += skew
+		moves, gain := layer.improve(value, price)
+		if moves > 0 {
+			changes = append(changes, improved{
+				layer: i,
+				after: layer,
+				moves: moves,
+				gain:  gain,
+				net:   value*gain - price*float64(moves),
+			})
+		}
+	}
+	before /= float64(max(layers, 1))
+	kept, after, net := fit(situation, changes, before, byteBudget)
+	if len(kept) == 0 || net < paying.weights.ChangePrice {
+		return keepMap(situation, "no change pays", before)
+	}
+	expertMap := successorOf(situation.Present)
+	for _, change := range kept {
+		expertMap.Layers[change.layer] = change.after.placement
+	}
+	return Decision{
+		reason:     "the skew removed outweighs the weights moved",
+		expertMap:  expertMap,
+		moves:      Moves(situation.Present, expertMap),
+		skewBefore: before,
+		skewAfter:  after,
+	}
+}
+
+// perMove scales the price of a move by how much a single replica counts for in a layer of this size.
+func perMove(situation Situation) float64 {
+	return referenceSlots / float64(max(situation.Present.Ranks*situation.Memory.SlotsPerLayer, 1))
+}
+
+const referenceSlots = 288.0
+
+// fit keeps the changes that are worth the most and that the spare memory of each rank and the bytes before the window allow.
+func fit(situation Situation, changes []improved, before, byteBudget float64) (kept []improved, after, net float64) {
+	sort.SliceStable(changes, func(i, j int) bool { return changes[i].net > changes[j].net })
+	spare := make([]int, situation.Present.Ranks)
+	for rank := range spare {
+		spare[rank] = situation.Memory.SparePerRank
+	}
+	after = before
+	bytes := 0.0
+	for _, change := range changes {
+		added := loadsPerRank(situation.Present.Layers[change.layer], change.after.placement)
+		size := 0
+		fits := true
+		for rank, count := range added {
+			size += count
+			fits = fits && count <= spare[rank]
+		}
+		cost := float64(size) * float64(situation.Memory.ExpertBytes)
+		if !fits || bytes+cost > byteBudget {
+			continue
+		}
+		for rank, count := range added {
+			spare[rank] -= count
+		}
+		bytes += cost
+		kept = append(kept, change)
+		net += change.net
+		after -= change.gain / float64(len(situation.Present.Layers))
+	}
+	return kept, after, net
+}
+
+func loadsPerRank(present, next [][]int) []int {
+	added := make([]int, len(next))
+	for rank, experts := range next {
+		for _, expert := range experts {
+			if rank >= len(present) || !holds(present[rank], expert) {
+				added[rank]++
+			}
+		}
+	}
+	return added
+}
+
+func successorOf(present cranberryward.ExpertMap) cranberryward.ExpertMap {
+	next := cranberryward.ExpertMap{
+		Version: present.Version + 1,
+		Ranks:   present.Ranks,
+		Layers:  make([][][]int, len(present.Layers)),
+	}
+	copy(next.Layers, present.Layers)
+	return next
+}
+
+// Moves returns the loads that lead from one map to the next, layer by layer, and then the discards.
+func Moves(present, next cranberryward.ExpertMap) []Move {
+	var loads, discards []Move
+	for layer := range next.Layers {
+		for rank := range next.Layers[layer] {
+			before, after := present.Layers[layer][rank], next.Layers[layer][rank]
+			for _, expert := range after {
+				if !holds(before, expert) {
+					loads = append(loads, Move{
+						Layer:  layer,
+						Rank:   rank,
+						Expert: expert,
+					})
+				}
+			}
+			for _, expert := range before {
+				if !holds(after, expert) {
+					discards = append(discards, Move{
+						Layer:   layer,
+						Rank:    rank,
+						Expert:  expert,
+						Discard: true,
+					})
+				}
+			}
+		}
+	}
+	return append(loads, discards...)
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,281 @@
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/limiter"
+	"github.com/cranberryward/cranberryward/messenger"
+	"github.com/cranberryward/cranberryward/router"
+)
+
+const prefixCapacity = 1 << 16
+
+type slot struct {
+	instance      cranberryward.Instance
+	breaker       limiter.Breaker
+	reportedAt    time.Time
+	eventsAt      time.Time
+	cacheSequence uint64
+	draining      bool
+	used          bool
+}
+
+// Pool is the set of backend servers of one model or one service.
+type Pool struct {
+	mutex    sync.Mutex
+	policy   router.Policy
+	slots    [router.MaxServers]slot
+	servers  [router.MaxServers]router.Server
+	count    int
+	index    *router.PrefixIndex
+	sequence uint64
+}
+
+// New returns an empty pool that chooses by the policy.
+func New(policy router.Policy) *Pool {
+	return &Pool{
+		policy: policy,
+		index:  router.NewPrefixIndex(prefixCapacity),
+	}
+}
+
+// Sync makes the pool hold just the given backend servers and forgets what it knew of those that began a new life.
+func (pool *Pool) Sync(instances []cranberryward.Instance) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	wanted := map[string]cranberryward.Instance{}
+	for _, instance := range instances {
+		wanted[instance.ID] = instance
+	}
+	for i := range pool.slots {
+		slot := &pool.slots[i]
+		if !slot.used {
+			continue
+		}
+		instance, keep := wanted[slot.instance.ID]
+		switch {
+		case !keep:
+			pool.clear(i)
+		case instance.Incarnation != slot.instance.Incarnation:
+			pool.clear(i)
+			pool.fill(i, instance)
+		default:
+			slot.instance = instance
+		}
+		delete(wanted, instance.ID)
+	}
+	for _, instance := range instances {
+		if _, missing := wanted[instance.ID]; missing {
+			pool.add(instance)
+		}
+	}
+}
+
+func (pool *Pool) clear(i int) {
+	pool.index.Forget(i)
+	pool.slots[i] = slot{}
+	pool.servers[i] = router.Server{}
+}
+
+func (pool *Pool) fill(i int, instance cranberryward.Instance) {
+	pool.slots[i] = slot{
+		instance: instance,
+		used:     true,
+	}
+	pool.servers[i] = router.Server{
+		Available: true,
+		Share:     1,
+	}
+	pool.count = max(pool.count, i+1)
+}
+
+func (pool *Pool) add(instance cranberryward.Instance) {
+	for i := range pool.slots {
+		if !pool.slots[i].used {
+			pool.fill(i, instance)
+			return
+		}
+	}
+}
+
+// Len returns how many backend servers the pool holds.
+func (pool *Pool) Len() int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	held := 0
+	for i := range pool.slots {
+		if pool.slots[i].used {
+			held++
+		}
+	}
+	return held
+}
+
+// Instances returns the backend servers of the pool.
+func (pool *Pool) Instances() []cranberryward.Instance {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	var instances []cranberryward.Instance
+	for i := range pool.slots {
+		if pool.slots[i].used {
+			instances = append(instances, pool.slots[i].instance)
+		}
+	}
+	return instances
+}
+
+// Ticket is a request on its way to a backend server.
+type Ticket struct {
+	pool     *Pool
+	slot     int
+	instance cranberryward.Instance
+	bytes    int
+	choice   router.Choice
+}
+
+// Instance returns the backend server that was chosen.
+func (ticket *Ticket) Instance() cranberryward.Instance { return ticket.instance }
+
+// Choice returns the routing decision.
+func (ticket *Ticket) Choice() router.Choice { return ticket.choice }
+
+// Choose returns a ticket for the backend server that the policy chose among those that are neither leaving nor excluded.
+func (pool *Pool) Choose(request router.Request, forbidden func(instance string) bool) (*Ticket, bool) {
+	now := time.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for i := range pool.count {
+		slot, server := &pool.slots[i], &pool.servers[i]
+		server.Available = slot.used && !slot.draining && !slot.instance.Leaving && slot.breaker.Allow(now) && !forbidden(slot.instance.ID)
+		server.Share = slot.breaker.Share(now)
+		server.ReportAge = now.Sub(slot.reportedAt)
+		server.EventAge = now.Sub(slot.eventsAt)
+	}
+	pool.sequence++
+	choice := pool.policy.Choose(request.Numbered(pool.sequence), pool.servers[:pool.count], pool.index)
+	if choice.Server() < 0 {
+		return nil, false
+	}
+	i := choice.Server()
+	pool.slots[i].breaker.Begin()
+	pool.servers[i].SentRequests++
+	pool.servers[i].SentBytes += request.Bytes()
+	pool.servers[i].Outstanding++
+	pool.index.Store(i, request.Blocks())
+	return &Ticket{
+		pool:     pool,
+		slot:     i,
+		instance: pool.slots[i].instance,
+		bytes:    request.Bytes(),
+		choice:   choice,
+	}, true
+}
+
+// Finish records how the request ended, with the load that came with the answer.
+func (ticket *Ticket) Finish(err error, load messenger.Load, reported bool) {
+	now := time.Now()
+	pool := ticket.pool
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	slot, server := &pool.slots[ticket.slot], &pool.servers[ticket.slot]
+	if slot.instance.ID != ticket.instance.ID || slot.instance.Incarnation != ticket.instance.Incarnation {
+		return
+	}
+	server.Outstanding--
+	if reported {
+		pool.takeLoad(ticket.slot, load, now)
+	}
+	switch failure := cranberryward.FailureOf(orNothing(err)); {
+	case err == nil:
+		slot.breaker.Succeed(now)
+	case failure.Reason() == cranberryward.ReasonLeaving, failure.Reason() == cranberryward.ReasonStopping:
+		slot.draining = true
+	case failure.Reason() == cranberryward.ReasonUnreachable, failure.Reason() == cranberryward.ReasonCrashed, failure.Reason() == cranberryward.ReasonBroken:
+		slot.breaker.Fail(now)
+	}
+}
+
+func orNothing(err error) error {
+	if err == nil {
+		return cranberryward.NewFailure(cranberryward.Ran, "", "")
+	}
+	return err
+}
+
+func (pool *Pool) takeLoad(i int, load messenger.Load, at time.Time) {
+	server := &pool.servers[i]
+	server.Running = load.InFlight
+	server.Queued = load.Queued
+	server.Limit = load.Limit
+	server.PrefillBytes = load.PrefillBytes
+	server.SentRequests = 0
+	server.SentBytes = 0
+	pool.slots[i].reportedAt = at
+}
+
+// Stale returns the backend servers whose last report is older than the age, with the cache event that each was last known at.
+func (pool *Pool) Stale(age time.Duration) map[string]Known {
+	now := time.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	stale := map[string]Known{}
+	for i := range pool.slots {
+		slot := &pool.slots[i]
+		if slot.used && now.Sub(slot.reportedAt) >= age {
+			stale[slot.instance.ID] = Known{
+				instance: slot.instance,
+				sequence: slot.cacheSequence,
+			}
+		}
+	}
+	return stale
+}
+
+// Known is what is known of a backend server whose report is due.
+type Known struct {
+	instance cranberryward.Instance
+	sequence uint64
+}
+
+// Instance returns the backend server.
+func (known Known) Instance() cranberryward.Instance { return known.instance }
+
+// Sequence returns the last cache event that was taken in.
+func (known Known) Sequence() uint64 { return known.sequence }
+
+// Report takes in the report of a backend server.
+func (pool *Pool) Report(id string, report messenger.ReportReply) {
+	now := time.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for i := range pool.slots {
+		slot := &pool.slots[i]
+		if !slot.used || slot.instance.ID != id {
+			continue
+		}
+		pool.takeLoad(i, report.Load, now)
+		slot.draining = report.Draining
+		if report.Engine.StepMicros > 0 {
+			pool.servers[i].StepMicros = float64(report.Engine.StepMicros)
+		}
+		pool.takeEvents(i, report.Events, now)
+	}
+}
+
+func (pool *Pool) takeEvents(i int, events cranberryward.CacheEvents, now time.Time) {
+	slot := &pool.slots[i]
+	if events.Resync {
+		pool.index.Forget(i)
+		pool.index.Store(i, events.Blocks)
+	}
+	for _, event := range events.Events {
+		pool.index.Store(i, event.Stored)
+		pool.index.Remove(i, event.Removed)
+	}
+	if events.Sequence > 0 || events.Resync {
+		slot.cacheSequence = events.Sequence
+	}
+	slot.eventsAt = now
+}
--- /dev/null
+++ b/quarantiner/doc.go
@@ -0,0 +1,2 @@
+// Package quarantiner bounds how many backend servers one crashing request can take down.
+package quarantiner
--- /dev/null
+++ b/router/prefix.go
@@ -0,0 +1,84 @@
+package router
+
+// PrefixIndex predicts which of up to 64 backend servers hold which prompt blocks, in two generations of bounded size.
+type PrefixIndex struct {
+	capacity int
+	young    map[uint64]uint64
+	old      map[uint64]uint64
+}
+
+// NewPrefixIndex returns an empty index that forgets the oldest blocks beyond the capacity.
+func NewPrefixIndex(capacity int) *PrefixIndex {
+	return &PrefixIndex{
+		capacity: capacity,
+		young:    map[uint64]uint64{},
+		old:      map[uint64]uint64{},
+	}
+}
+
+// Len returns how many blocks the index holds.
+func (prefixIndex *PrefixIndex) Len() int { return len(prefixIndex.young) + len(prefixIndex.old) }
+
+func (prefixIndex *PrefixIndex) servers(block uint64) uint64 {
+	return prefixIndex.young[block] | prefixIndex.old[block]
+}
+
+// Store records that the server holds the blocks.
+func (prefixIndex *PrefixIndex) Store(server int, blocks []uint64) {
+	for _, block := range blocks {
+		if len(prefixIndex.young) >= prefixIndex.capacity/2 {
+			prefixIndex.old = prefixIndex.young
+			prefixIndex.young = make(map[uint64]uint64, prefixIndex.capacity/2)
+		}
+		prefixIndex.young[block] = prefixIndex.servers(block) | 1<<server
+	}
+}
+
+// Remove records that the server no longer holds the blocks.
+func (prefixIndex *PrefixIndex) Remove(server int, blocks []uint64) {
+	for _, block := range blocks {
+		clearServer(prefixIndex.young, block, server)
+		clearServer(prefixIndex.old, block, server)
+	}
+}
+
+func clearServer(generation map[uint64]uint64, block uint64, server int) {
+	mask, ok := generation[block]
+	if !ok {
+		return
+	}
+	if mask &^= 1 << server; mask == 0 {
+		delete(generation, block)
+		return
+	}
+	generation[block] = mask
+}
+
+// Forget records that the server holds nothing, as after a restart.
+func (prefixIndex *PrefixIndex) Forget(server int) {
+	for _, generation := range []map[uint64]uint64{prefixIndex.young, prefixIndex.old} {
+		for block := range generation {
+			clearServer(generation, block, server)
+		}
+	}
+}
+
+// Hits fills in how many leading blocks of the prompt each server is predicted to hold, probing a long prompt at widening distances.
+func (prefixIndex *PrefixIndex) Hits(blocks []uint64, hits *[MaxServers]int) {
+	*hits = [MaxServers]int{}
+	alive := ^uint64(0)
+	for i := 0; i < len(blocks) && alive != 0; i = nextProbe(i, len(blocks)) {
+		alive &= prefixIndex.servers(blocks[i])
+		for rest := alive; rest != 0; rest &= rest - 1 {
+			hits[trailingZeros(rest)] = i + 1
+		}
+	}
+}
+
+func nextProbe(i, length int) int {
+	next := i + 1 + i/4
+	if next >= length && i < length-1 {
+		return length - 1
+	}
+	return next
+}
--- /dev/null
+++ b/standin/engineserver/group.go
@@ -0,0 +1,200 @@
+package engineserver
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+const (
+	maxStepLog   = 1 << 20
+	zipfExponent = 0.9
+)
+
+// Group is a lock-step group that advances only when every rank enters the step.
+type Group struct {
+	settings Settings
+	weights  cranberryward.WeightStore
+	mutex    sync.Mutex
+	ranks    []*Rank
+	step     uint64
+	log      []cranberryward.StepRecord
+	phase    float64
+	skew     float64
+	maxHeld  time.Duration
+	heldFrom time.Time
+}
+
+// NewGroup returns a group whose ranks all run the initial expert map with version one.
+func NewGroup(settings Settings, weights cranberryward.WeightStore) *Group {
+	group := &Group{
+		settings: settings,
+		weights:  weights,
+		skew:     1,
+	}
+	initial := InitialMap(settings)
+	for rank := range settings.Ranks {
+		group.ranks = append(group.ranks, newRank(group, rank, initial))
+	}
+	return group
+}
+
+// InitialMap returns the map that places the experts on the ranks in order.
+func InitialMap(settings Settings) cranberryward.ExpertMap {
+	expertMap := cranberryward.ExpertMap{
+		Version: 1,
+		Ranks:   settings.Ranks,
+	}
+	slots := settings.Experts + settings.Redundant
+	perRank := slots / settings.Ranks
+	for range settings.Layers {
+		layer := make([][]int, settings.Ranks)
+		for slot := range perRank * settings.Ranks {
+			layer[slot/perRank] = append(layer[slot/perRank], slot%settings.Experts)
+		}
+		expertMap.Layers = append(expertMap.Layers, layer)
+	}
+	return expertMap
+}
+
+// Rank returns the rank with the given number.
+func (group *Group) Rank(rank int) *Rank { return group.ranks[rank] }
+
+// Ranks returns how many ranks the group has.
+func (group *Group) Ranks() int { return len(group.ranks) }
+
+// SetPhase moves the popularity of the experts, as the day's drift does.
+func (group *Group) SetPhase(phase float64) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.phase = phase
+}
+
+// StepLog returns which map version each rank ran in each step.
+func (group *Group) StepLog() []cranberryward.StepRecord {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return append([]cranberryward.StepRecord{}, group.log...)
+}
+
+// Step returns the last step that the group entered.
+func (group *Group) Step() uint64 {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.step
+}
+
+// Skew returns the load of the slowest rank over the mean of the last step.
+func (group *Group) Skew() float64 {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.skew
+}
+
+// MaxHeld returns the longest time that the group was held at a boundary.
+func (group *Group) MaxHeld() time.Duration {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.maxHeld
+}
+
+// Run advances the group until the context ends.
+func (group *Group) Run(ctx context.Context) {
+	ticker := time.NewTicker(time.Duration(group.settings.StepMicros) * time.Microsecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			group.advance()
+		}
+	}
+}
+
+func (group *Group) advance() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	next := group.step + 1
+	ready, held := true, false
+	for _, rank := range group.ranks {
+		rank.arrive(next)
+		if !rank.mayEnter(next) {
+			ready = false
+		}
+		held = held || (rank.held && rank.heldStep <= next && !rank.faults.Dead)
+	}
+	group.trackHold(held)
+	if !ready {
+		return
+	}
+	group.step = next
+	for _, rank := range group.ranks {
+		rank.enter(next)
+		if len(group.log) < maxStepLog {
+			group.log = append(group.log, cranberryward.StepRecord{
+				Step:       next,
+				Rank:       rank.number,
+				MapVersion: rank.version,
+			})
+		}
+	}
+	group.measureSkew()
+}
+
+func (group *Group) trackHold(held bool) {
+	if !held {
+		group.heldFrom = time.Time{}
+		return
+	}
+	if group.heldFrom.IsZero() {
+		group.heldFrom = time.Now()
+	}
+	group.maxHeld = max(group.maxHeld, time.Since(group.heldFrom))
+}
+
+func (group *Group) measureSkew() {
+	expertMap := group.ranks[0].maps[group.ranks[0].version]
+	loads := group.expertLoads()
+	var worst, layers float64
+	for layer, placement := range expertMap.Layers {
+		replicas := make([]float64, group.settings.Experts)
+		for _, experts := range placement {
+			for _, expert := range experts {
+				replicas[expert]++
+			}
+		}
+		var slowest, total float64
+		for _, experts := range placement {
+			var load float64
+			for _, expert := range experts {
+				load += float64(loads[layer][expert]) / replicas[expert]
+			}
+			slowest = max(slowest, load)
+			total += load
+		}
+		if total > 0 {
+			worst += slowest * float64(len(placement)) / total
+			layers++
+		}
+	}
+	if layers > 0 {
+		group.skew = worst / layers
+	}
+}
+
+func (group *Group) expertLoads() [][]float32 {
+	loads := make([][]float32, group.settings.Layers)
+	for layer := range loads {
+		loads[layer] = make([]float32, group.settings.Experts)
+		shift := int(group.phase*float64(group.settings.Experts)) + layer
+		for expert := range loads[layer] {
+			position := (expert + shift) % group.settings.Experts
+			loads[layer][expert] = float32(1 / math.Pow(float64(position+1), zipfExponent))
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/standin/engineserver/message.go
@@ -0,0 +1,32 @@
+package engineserver
+
+// Faults are the faults that one rank shows while they are set.
+type Faults struct {
+	Stalled       bool    `json:"stalled"`
+	Dead          bool    `json:"dead"`
+	CrashMarker   string  `json:"crash_marker,omitempty"`
+	RestartMS     int64   `json:"restart_ms"`
+	IgnoreFencing bool    `json:"ignore_fencing"`
+	EventLagMS    int64   `json:"event_lag_ms"`
+	EventLoss     float64 `json:"event_loss"`
+	LoadLagMS     int64   `json:"load_lag_ms"`
+	CutAfter      int     `json:"cut_after"`
+	RefuseOrders  bool    `json:"refuse_orders"`
+}
+
+// Settings describe a group of the stand-in.
+type Settings struct {
+	Name         string
+	Model        string
+	Ranks        int
+	Layers       int
+	Experts      int
+	Redundant    int
+	StepMicros   int64
+	MaxBatch     int
+	MaxQueue     int
+	CacheBlocks  int
+	ResumeMS     int64
+	PrefillBytes int
+	Seed         uint64
+}
--- /dev/null
+++ b/standin/engineserver/rank.go
@@ -0,0 +1,374 @@
+package engineserver
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+type pendingSwitch struct {
+	step    uint64
+	version uint64
+}
+
+// Rank is one rank of a group, guarded by the group's mutex.
+type Rank struct {
+	group       *Group
+	number      int
+	incarnation int
+	faults      Faults
+	version     uint64
+	maps        map[uint64]cranberryward.ExpertMap
+	loading     map[uint64]bool
+	held        bool
+	heldStep    uint64
+	pending     pendingSwitch
+	fencing     uint64
+	queue       []*stream
+	running     []*stream
+	streams     map[string]*stream
+	executions  []*stream
+	cache       blockCache
+	events      eventLog
+	load        cranberryward.EngineLoad
+	loadAt      time.Time
+	random      *rand.Rand
+	orders      []cranberryward.Order
+	crashes     int
+	models      map[string]bool
+	role        string
+}
+
+func newRank(group *Group, number int, initial cranberryward.ExpertMap) *Rank {
+	rank := &Rank{
+		group:  group,
+		number: number,
+		random: rand.New(rand.NewPCG(group.settings.Seed, uint64(number))),
+	}
+	rank.reset()
+	rank.version = initial.Version
+	rank.maps[initial.Version] = initial
+	return rank
+}
+
+func (rank *Rank) reset() {
+	rank.incarnation++
+	rank.version = 0
+	rank.maps = map[uint64]cranberryward.ExpertMap{}
+	rank.loading = map[uint64]bool{}
+	rank.held = false
+	rank.heldStep = 0
+	rank.pending = pendingSwitch{}
+	rank.fencing = 0
+	for _, stream := range rank.streams {
+		stream.lose()
+	}
+	rank.queue = nil
+	rank.running = nil
+	rank.streams = map[string]*stream{}
+	rank.cache = newBlockCache(rank.group.settings.CacheBlocks)
+	rank.events = eventLog{}
+	rank.models = map[string]bool{rank.group.settings.Model: true}
+}
+
+func (rank *Rank) incarnationName() string {
+	return rank.group.settings.Name + "-" + strconv.Itoa(rank.number) + "-" + strconv.Itoa(rank.incarnation)
+}
+
+// SetFaults replaces the faults that the rank shows, and a rank that was dead restarts with nothing.
+func (rank *Rank) SetFaults(faults Faults) {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	if faults.Dead && !rank.faults.Dead {
+		rank.reset()
+	}
+	rank.faults = faults
+}
+
+// Restart loses everything that the rank held in memory.
+func (rank *Rank) Restart() {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	rank.reset()
+}
+
+// Crashes returns how often a marked request took the rank down.
+func (rank *Rank) Crashes() int {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	return rank.crashes
+}
+
+// State returns the present state of the rank.
+func (rank *Rank) State() cranberryward.RankState {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	return rank.state()
+}
+
+// Executions returns the log of every request that ran.
+func (rank *Rank) Executions() []cranberryward.Execution {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	executions := make([]cranberryward.Execution, 0, len(rank.executions))
+	for _, stream := range rank.executions {
+		executions = append(executions, cranberryward.Execution{
+			RequestID: stream.request.RequestID,
+			Text:      stream.text[:stream.sent],
+			Finished:  stream.end != nil,
+		})
+	}
+	return executions
+}
+
+// Orders returns every order that the rank carried out.
+func (rank *Rank) Orders() []cranberryward.Order {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	return append([]cranberryward.Order{}, rank.orders...)
+}
+
+func (rank *Rank) state() cranberryward.RankState {
+	state := cranberryward.RankState{
+		Step:        rank.group.step,
+		Held:        rank.held && rank.heldStep <= rank.group.step+1,
+		HeldStep:    rank.heldStep,
+		MapVersion:  rank.version,
+		Incarnation: rank.incarnationName(),
+		Fencing:     rank.fencing,
+	}
+	if rank.pending.version != 0 && rank.pending.step == rank.group.step+1 {
+		state.MapVersion = rank.pending.version
+	}
+	for version := range rank.maps {
+		state.Prepared = append(state.Prepared, version)
+	}
+	sort.Slice(state.Prepared, func(i, j int) bool { return state.Prepared[i] < state.Prepared[j] })
+	for model := range rank.models {
+		state.Versions = append(state.Versions, model)
+	}
+	return state
+}
+
+func (rank *Rank) arrive(next uint64) {
+	if rank.version == 0 && rank.pending.version != 0 && rank.pending.step <= next {
+		rank.version = rank.pending.version
+		rank.pending = pendingSwitch{}
+	}
+}
+
+func (rank *Rank) mayEnter(step uint64) bool {
+	if rank.faults.Dead || rank.faults.Stalled {
+		return false
+	}
+	if rank.version == 0 {
+		return false
+	}
+	return !rank.held || rank.heldStep > step
+}
+
+func (rank *Rank) enter(step uint64) {
+	if rank.pending.version != 0 && rank.pending.step <= step {
+		rank.version = rank.pending.version
+		rank.pending = pendingSwitch{}
+	}
+	rank.admit()
+	kept := rank.running[:0]
+	for _, stream := range rank.running {
+		if rank.work(stream) {
+			kept = append(kept, stream)
+		}
+	}
+	rank.running = kept
+	rank.report(false)
+}
+
+func (rank *Rank) admit() {
+	sort.SliceStable(rank.queue, func(i, j int) bool {
+		return rank.queue[i].request.Priority > rank.queue[j].request.Priority
+	})
+	for len(rank.queue) > 0 && len(rank.running) < rank.group.settings.MaxBatch {
+		stream := rank.queue[0]
+		rank.queue = rank.queue[1:]
+		if stream.canceled {
+			continue
+		}
+		rank.startStream(stream)
+	}
+}
+
+func (rank *Rank) startStream(stream *stream) {
+	blocks := cranberryward.PrefixBlocks(nil, stream.request.Prompt)
+	hit := rank.cache.hit(blocks)
+	removed := rank.cache.store(blocks)
+	rank.events.add(rank, blocks, removed)
+	stream.cachedTokens = tokensOf(hit * cranberryward.PrefixBlockBytes)
+	left := len(stream.request.Prompt) - hit*cranberryward.PrefixBlockBytes
+	stream.prefillSteps = left / max(rank.group.settings.PrefillBytes, 1)
+	rank.running = append(rank.running, stream)
+	rank.executions = append(rank.executions, stream)
+	if marker := rank.faults.CrashMarker; marker != "" && strings.Contains(stream.request.Prompt, marker) {
+		rank.crash()
+	}
+}
+
+func (rank *Rank) crash() {
+	rank.crashes++
+	restart := time.Duration(rank.faults.RestartMS) * time.Millisecond
+	rank.reset()
+	rank.faults.Dead = true
+	time.AfterFunc(restart, func() {
+		rank.group.mutex.Lock()
+		defer rank.group.mutex.Unlock()
+		rank.faults.Dead = false
+	})
+}
+
+func (rank *Rank) work(stream *stream) (keep bool) {
+	if stream.canceled || stream.lost {
+		return false
+	}
+	if stream.prefillSteps > 0 {
+		stream.prefillSteps--
+		return true
+	}
+	stream.emit()
+	return stream.end == nil
+}
+
+func (rank *Rank) report(force bool) {
+	lag := time.Duration(rank.faults.LoadLagMS) * time.Millisecond
+	if !force && time.Since(rank.loadAt) < lag {
+		return
+	}
+	rank.loadAt = time.Now()
+	queuedTokens := 0
+	for _, stream := range rank.queue {
+		queuedTokens += tokensOf(len(stream.request.Prompt))
+	}
+	rank.load = cranberryward.EngineLoad{
+		Running:       len(rank.running),
+		Queued:        len(rank.queue),
+		QueuedTokens:  queuedTokens,
+		Step:          rank.group.step,
+		StepMicros:    int64(float64(rank.group.settings.StepMicros) * rank.group.skew),
+		MapVersion:    rank.version,
+		Incarnation:   rank.incarnationName(),
+		CacheSequence: rank.events.sequence,
+	}
+}
+
+func (rank *Rank) carryOut(ctx context.Context, order cranberryward.Order) error {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	if rank.faults.RefuseOrders {
+		return refusal(cranberryward.ReasonInternal, "the engine refuses orders")
+	}
+	if !rank.faults.IgnoreFencing {
+		if order.Fencing < rank.fencing {
+			return refusal(cranberryward.ReasonFenced, "order carries an old fencing number")
+		}
+		rank.fencing = order.Fencing
+	}
+	if err := rank.apply(ctx, order); err != nil {
+		return err
+	}
+	rank.orders = append(rank.orders, order)
+	return nil
+}
+
+func refusal(reason cranberryward.Reason, message string) error {
+	return cranberryward.NewFailure(cranberryward.NotRun, reason, message).WithResend(false)
+}
+
+func (rank *Rank) apply(ctx context.Context, order cranberryward.Order) error {
+	next := rank.group.step + 1
+	switch order.Kind {
+	case cranberryward.OrderPrepare:
+		rank.prepare(ctx, order.Map)
+	case cranberryward.OrderDiscard:
+		if order.Version != rank.version && order.Version != rank.pending.version {
+			delete(rank.maps, order.Version)
+		}
+	case cranberryward.OrderHold:
+		if order.Step < next {
+			return refusal(cranberryward.ReasonStale, "the step to hold before has been entered")
+		}
+		rank.held = true
+		rank.heldStep = order.Step
+	case cranberryward.OrderSwitch:
+		if order.Step < next {
+			return refusal(cranberryward.ReasonStale, "the step to switch at has been entered")
+		}
+		if _, prepared := rank.maps[order.Version]; !prepared {
+			return refusal(cranberryward.ReasonInvalid, "the expert map version is not prepared")
+		}
+		rank.pending = pendingSwitch{
+			step:    order.Step,
+			version: order.Version,
+		}
+	case cranberryward.OrderRelease:
+		if rank.held && order.Step == rank.heldStep {
+			rank.held = false
+			rank.heldStep = 0
+		}
+	case cranberryward.OrderLoadModel:
+		rank.models[order.Model] = true
+	case cranberryward.OrderRole:
+		rank.role = order.Name
+	default:
+		return refusal(cranberryward.ReasonInvalid, "unknown order "+string(order.Kind))
+	}
+	return nil
+}
+
+func (rank *Rank) prepare(ctx context.Context, expertMap cranberryward.ExpertMap) {
+	if _, ready := rank.maps[expertMap.Version]; ready || rank.loading[expertMap.Version] {
+		return
+	}
+	incarnation := rank.incarnation
+	rank.loading[expertMap.Version] = true
+	present := rank.maps[rank.version]
+	go func() {
+		err := rank.fetch(context.WithoutCancel(ctx), present, expertMap)
+		rank.group.mutex.Lock()
+		defer rank.group.mutex.Unlock()
+		if rank.incarnation != incarnation {
+			return
+		}
+		delete(rank.loading, expertMap.Version)
+		if err == nil {
+			rank.maps[expertMap.Version] = expertMap
+		}
+	}()
+}
+
+func (rank *Rank) fetch(ctx context.Context, present, wanted cranberryward.ExpertMap) error {
+	for layer, placement := range wanted.Layers {
+		resident := map[int]bool{}
+		if layer < len(present.Layers) {
+			for _, expert := range present.Layers[layer][rank.number] {
+				resident[expert] = true
+			}
+		}
+		var missing []int
+		for _, expert := range placement[rank.number] {
+			if !resident[expert] {
+				missing = append(missing, expert)
+				resident[expert] = true
+			}
+		}
+		if len(missing) == 0 {
+			continue
+		}
+		if _, err := rank.group.weights.Fetch(ctx, rank.group.settings.Model, layer, missing); err != nil {
+			return err
+		}
+	}
+	return nil
+}
