--- /dev/null
+++ b/standin/listserver/server.go
@@ -0,0 +1,167 @@
+package listserver
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+	"github.com/gorilla/mux"
+)
+
+const maxBodyBytes = 64 << 10
+
+// Faults are the faults that the stand-in shows while they are set.
+type Faults struct {
+	Outage bool  `json:"outage"`
+	LagMS  int64 `json:"lag_ms"`
+}
+
+type change struct {
+	at         time.Time
+	membership cranberryward.Membership
+}
+
+// Server keeps the list in memory and shows it with a lag.
+type Server struct {
+	mutex   sync.Mutex
+	rows    map[string]cranberryward.Instance
+	version uint64
+	history []change
+	faults  Faults
+}
+
+// New returns an empty list.
+func New() *Server {
+	return &Server{
+		rows:    map[string]cranberryward.Instance{},
+		version: 1,
+		history: []change{{membership: cranberryward.Membership{Version: 1}}},
+	}
+}
+
+// Handler returns the HTTP interface of docs/INTERFACES.md.
+func (server *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/instances", server.list).Methods(http.MethodGet)
+	router.HandleFunc("/v1/instances/{id}", server.register).Methods(http.MethodPut)
+	router.HandleFunc("/v1/instances/{id}", server.deregister).Methods(http.MethodDelete)
+	router.HandleFunc("/faults", server.setFaults).Methods(http.MethodPost)
+	return router
+}
+
+// SetFaults replaces the faults that the list shows.
+func (server *Server) SetFaults(faults Faults) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.faults = faults
+}
+
+func (server *Server) setFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if err := listener.ReadJSON(writer, request, maxBodyBytes, &faults); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	server.SetFaults(faults)
+	listener.WriteJSON(writer, http.StatusOK, faults)
+}
+
+// Put adds or replaces the row of an instance.
+func (server *Server) Put(instance cranberryward.Instance) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.rows[instance.ID] == instance {
+		return
+	}
+	server.rows[instance.ID] = instance
+	server.record()
+}
+
+// Remove removes the row of an instance.
+func (server *Server) Remove(id string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if _, ok := server.rows[id]; !ok {
+		return
+	}
+	delete(server.rows, id)
+	server.record()
+}
+
+func (server *Server) record() {
+	server.version++
+	rows := make([]cranberryward.Instance, 0, len(server.rows))
+	for _, instance := range server.rows {
+		rows = append(rows, instance)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
+	server.history = append(server.history, change{
+		at: time.Now(),
+		membership: cranberryward.Membership{
+			Version:   server.version,
+			Instances: rows,
+		},
+	})
+}
+
+func (server *Server) visible() (cranberryward.Membership, bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	horizon := time.Now().Add(-time.Duration(server.faults.LagMS) * time.Millisecond)
+	latest := server.history[0].membership
+	for _, change := range server.history {
+		if !change.at.After(horizon) {
+			latest = change.membership
+		}
+	}
+	return latest, server.faults.Outage
+}
+
+func (server *Server) list(writer http.ResponseWriter, request *http.Request) {
+	membership, outage := server.visible()
+	if outage {
+		faulter.Cut(writer)
+		return
+	}
+	if zone := request.URL.Query().Get("zone"); zone != "" {
+		membership.Instances = membership.Select(func(instance cranberryward.Instance) bool { return instance.Zone == zone })
+	}
+	if service := request.URL.Query().Get("service"); service != "" {
+		membership.Instances = membership.Select(func(instance cranberryward.Instance) bool { return instance.Service == service })
+	}
+	listener.WriteJSON(writer, http.StatusOK, membership)
+}
+
+func (server *Server) isOut() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.faults.Outage
+}
+
+func (server *Server) register(writer http.ResponseWriter, request *http.Request) {
+	if server.isOut() {
+		faulter.Cut(writer)
+		return
+	}
+	var instance cranberryward.Instance
+	if err := listener.ReadJSON(writer, request, maxBodyBytes, &instance); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	instance.ID = mux.Vars(request)["id"]
+	server.Put(instance)
+	listener.WriteJSON(writer, http.StatusOK, instance)
+}
+
+func (server *Server) deregister(writer http.ResponseWriter, request *http.Request) {
+	if server.isOut() {
+		faulter.Cut(writer)
+		return
+	}
+	server.Remove(mux.Vars(request)["id"])
+	listener.WriteJSON(writer, http.StatusOK, cranberryward.Instance{ID: mux.Vars(request)["id"]})
+}
--- /dev/null
+++ b/standin/serviceserver/server.go
@@ -0,0 +1,177 @@
+package serviceserver
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+	"github.com/gorilla/mux"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Faults are the faults that the stand-in shows while they are set.
+type Faults struct {
+	Down        bool   `json:"down"`
+	DelayMS     int64  `json:"delay_ms"`
+	LoseAnswers int    `json:"lose_answers"`
+	CrashMarker string `json:"crash_marker,omitempty"`
+	DownMS      int64  `json:"down_ms"`
+}
+
+// Answer is what the stand-in answers to every call.
+type Answer struct {
+	Service   string `json:"service"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Key       string `json:"key,omitempty"`
+	RequestID string `json:"request_id"`
+	Execution int    `json:"execution"`
+	Echo      string `json:"echo"`
+}
+
+// Server is one backend server of a plain service.
+type Server struct {
+	name       string
+	mutex      sync.Mutex
+	faults     Faults
+	executions []cranberryward.Execution
+	crashes    int
+	downUntil  time.Time
+	held       chan struct{}
+}
+
+// New returns a backend server of the named service.
+func New(name string) *Server {
+	return &Server{
+		name: name,
+	}
+}
+
+// Handler returns the HTTP interface of docs/INTERFACES.md.
+func (server *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/faults", server.setFaults).Methods(http.MethodPost)
+	router.HandleFunc("/log", func(writer http.ResponseWriter, _ *http.Request) {
+		listener.WriteJSON(writer, http.StatusOK, server.Executions())
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/healthz", server.health).Methods(http.MethodGet)
+	router.PathPrefix("/").HandlerFunc(server.serve)
+	return router
+}
+
+// SetFaults replaces the faults that the service shows.
+func (server *Server) SetFaults(faults Faults) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.faults = faults
+}
+
+// Hold keeps every following call waiting before it runs until the returned function is called.
+func (server *Server) Hold() (release func()) {
+	held := make(chan struct{})
+	server.mutex.Lock()
+	server.held = held
+	server.mutex.Unlock()
+	return func() {
+		server.mutex.Lock()
+		server.held = nil
+		server.mutex.Unlock()
+		close(held)
+	}
+}
+
+// Executions returns the log of every call that ran.
+func (server *Server) Executions() []cranberryward.Execution {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return append([]cranberryward.Execution{}, server.executions...)
+}
+
+// Crashes returns how often a marked request took the server down.
+func (server *Server) Crashes() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.crashes
+}
+
+func (server *Server) setFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if err := listener.ReadJSON(writer, request, maxBodyBytes, &faults); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	server.SetFaults(faults)
+	listener.WriteJSON(writer, http.StatusOK, faults)
+}
+
+func (server *Server) health(writer http.ResponseWriter, _ *http.Request) {
+	server.mutex.Lock()
+	down := server.faults.Down || time.Now().Before(server.downUntil)
+	server.mutex.Unlock()
+	if down {
+		faulter.Cut(writer)
+		return
+	}
+	listener.WriteJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (server *Server) serve(writer http.ResponseWriter, request *http.Request) {
+	body, err := listener.ReadBody(writer, request, maxBodyBytes)
+	if err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	server.mutex.Lock()
+	held, faults := server.held, server.faults
+	server.mutex.Unlock()
+	if held != nil {
+		<-held
+	}
+	if faults.DelayMS > 0 {
+		time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	}
+	answer, cut := server.execute(request, string(body))
+	if cut {
+		faulter.Cut(writer)
+		return
+	}
+	listener.WriteJSON(writer, http.StatusOK, answer)
+}
+
+func (server *Server) execute(request *http.Request, body string) (answer Answer, cut bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.faults.Down || time.Now().Before(server.downUntil) {
+		return answer, true
+	}
+	answer = Answer{
+		Service:   server.name,
+		Method:    request.Method,
+		Path:      request.URL.Path,
+		Key:       request.Header.Get(cranberryward.HeaderIdempotencyKey),
+		RequestID: request.Header.Get(cranberryward.HeaderRequestID),
+		Execution: len(server.executions) + 1,
+		Echo:      body,
+	}
+	server.executions = append(server.executions, cranberryward.Execution{
+		RequestID: answer.RequestID,
+		Key:       answer.Key,
+		Text:      body,
+		Finished:  true,
+	})
+	if marker := server.faults.CrashMarker; marker != "" && strings.Contains(body, marker) {
+		server.crashes++
+		server.downUntil = time.Now().Add(time.Duration(server.faults.DownMS) * time.Millisecond)
+		return answer, true
+	}
+	if server.faults.LoseAnswers > 0 {
+		server.faults.LoseAnswers--
+		return answer, true
+	}
+	return answer, false
+}
--- /dev/null
+++ b/standin/weightserver/server.go
@@ -0,0 +1,107 @@
+package weightserver
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cranberryward/cranberryward/listener"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// ExpertBytes is the size of one expert's weights in the stand-in, in bytes.
+	ExpertBytes = 1 << 10
+	burstBytes  = 64 << 10
+)
+
+// Faults are the faults that the stand-in shows while they are set.
+type Faults struct {
+	Outage         bool  `json:"outage"`
+	BytesPerSecond int64 `json:"bytes_per_second"`
+}
+
+// Counters are the bytes and calls counted since the start.
+type Counters struct {
+	Fetches int64 `json:"fetches"`
+	Bytes   int64 `json:"bytes"`
+}
+
+// Server serves weights of zeros at a limited rate.
+type Server struct {
+	limiter *rate.Limiter
+	fetches atomic.Int64
+	bytes   atomic.Int64
+	mutex   sync.Mutex
+	faults  Faults
+}
+
+// New returns a store that serves the given number of bytes a second.
+func New(bytesPerSecond int64) *Server {
+	return &Server{
+		limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), burstBytes),
+	}
+}
+
+// Handler returns the HTTP interface of docs/INTERFACES.md.
+func (server *Server) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/weights/{model}/{layer}", server.fetch).Methods(http.MethodGet)
+	router.HandleFunc("/faults", server.setFaults).Methods(http.MethodPost)
+	router.HandleFunc("/counters", func(writer http.ResponseWriter, _ *http.Request) {
+		listener.WriteJSON(writer, http.StatusOK, server.Counters())
+	}).Methods(http.MethodGet)
+	return router
+}
+
+// SetFaults replaces the faults that the store shows.
+func (server *Server) SetFaults(faults Faults) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.faults = faults
+	if faults.BytesPerSecond > 0 {
+		server.limiter.SetLimit(rate.Limit(faults.BytesPerSecond))
+	}
+}
+
+// Counters returns the bytes and calls counted since the start.
+func (server *Server) Counters() Counters {
+	return Counters{
+		Fetches: server.fetches.Load(),
+		Bytes:   server.bytes.Load(),
+	}
+}
+
+func (server *Server) setFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if err := listener.ReadJSON(writer, request, burstBytes, &faults); err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	server.SetFaults(faults)
+	listener.WriteJSON(writer, http.StatusOK, faults)
+}
+
+func (server *Server) fetch(writer http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	outage := server.faults.Outage
+	server.mutex.Unlock()
+	if outage {
+		faulter.Cut(writer)
+		return
+	}
+	server.fetches.Add(1)
+	weights := make([]byte, ExpertBytes)
+	for range strings.Split(request.URL.Query().Get("experts"), ",") {
+		if err := server.limiter.WaitN(request.Context(), ExpertBytes); err != nil {
+			return
+		}
+		if _, err := writer.Write(weights); err != nil {
+			return
+		}
+		server.bytes.Add(ExpertBytes)
+	}
+}
--- /dev/null
+++ b/switcher/group.go
@@ -0,0 +1,21 @@
+package switcher
+
+import (
+	"sort"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// GroupRanks returns the instances of a group ordered by rank, and nil when a rank is not listed.
+func GroupRanks(membership cranberryward.Membership, group string) []cranberryward.Instance {
+	ranks := membership.Select(func(instance cranberryward.Instance) bool {
+		return instance.Role == cranberryward.RoleEngine && instance.Group == group
+	})
+	sort.Slice(ranks, func(i, j int) bool { return ranks[i].Rank < ranks[j].Rank })
+	for i, instance := range ranks {
+		if instance.Rank != i {
+			return nil
+		}
+	}
+	return ranks
+}
--- /dev/null
+++ b/switcher/switcher.go
@@ -0,0 +1,367 @@
+package switcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/charter"
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	eventPrepare  = charter.Event("prepare")
+	eventPrepared = charter.Event("prepared")
+	eventCommit   = charter.Event("commit")
+	eventHold     = charter.Event("hold")
+	eventHeld     = charter.Event("held")
+	eventSwitched = charter.Event("switched")
+	eventRollBack = charter.Event("roll_back")
+	eventRestored = charter.Event("restored")
+	eventAbandon  = charter.Event("abandon")
+
+	leadSteps       = 2
+	pollDelay       = 2 * time.Millisecond
+	retryDelay      = 20 * time.Millisecond
+	callTimeout     = 500 * time.Millisecond
+	attemptBits     = 20
+	holdTries       = 3
+	heldWaitShare   = 2
+	unresolvedEvery = time.Second
+)
+
+var chart = charter.MustLoad("change", eventPrepare, eventPrepared, eventCommit, eventHold, eventHeld, eventSwitched, eventRollBack, eventRestored, eventAbandon)
+
+// Port reaches one rank of the group.
+type Port interface {
+	// State returns the present state of the rank.
+	State(ctx context.Context) (cranberryward.RankState, error)
+	// Map returns an expert map that the rank holds.
+	Map(ctx context.Context, version uint64) (cranberryward.ExpertMap, error)
+	// Order carries out an order at the rank.
+	Order(ctx context.Context, order cranberryward.Order) error
+}
+
+// Switcher drives the changes of one group from the place of its gate, which is the first rank.
+type Switcher struct {
+	group  string
+	ports  func() []Port
+	logger log.Logger
+	mutex  sync.Mutex
+	used   uint64
+}
+
+// New returns a switcher whose first port is the gate.
+func New(group string, ports func() []Port, logger log.Logger) *Switcher {
+	return &Switcher{
+		group:  group,
+		ports:  ports,
+		logger: logger,
+	}
+}
+
+type attempt struct {
+	switcher *Switcher
+	ports    []Port
+	change   Change
+	machine  charter.Machine
+	step     uint64
+	started  time.Time
+	before   []cranberryward.RankState
+	fencing  uint64
+}
+
+// FencingOf returns the number that orders of a lease's holder start from, leaving room for numbered attempts.
+func FencingOf(lease uint64) uint64 { return lease << attemptBits }
+
+// Execute moves the group to the change's version, or back to the version that it ran, and returns when the group is released.
+func (switcher *Switcher) Execute(ctx context.Context, change Change, mayStart func() error) (Outcome, error) {
+	switcher.mutex.Lock()
+	defer switcher.mutex.Unlock()
+	attempt := &attempt{
+		switcher: switcher,
+		ports:    switcher.ports(),
+		change:   change,
+		machine:  chart.Start(),
+		started:  time.Now(),
+	}
+	for _, event := range []charter.Event{eventPrepare, eventPrepared, eventCommit} {
+		attempt.fire(event)
+	}
+	if err := attempt.check(ctx); err != nil {
+		attempt.fire(eventAbandon)
+		return attempt.outcome(), err
+	}
+	if err := mayStart(); err != nil {
+		attempt.fire(eventAbandon)
+		return attempt.outcome(), err
+	}
+	return attempt.run(ctx)
+}
+
+func (attempt *attempt) fire(event charter.Event) {
+	if err := attempt.machine.Fire(event); err != nil {
+		_ = attempt.switcher.logger.Log("event", "state_fault", "group", attempt.change.Group, "error", err)
+	}
+}
+
+func (attempt *attempt) outcome() Outcome {
+	outcome := Outcome{
+		State:      string(attempt.machine.State()),
+		Step:       attempt.step,
+		HeldMillis: time.Since(attempt.started).Milliseconds(),
+		Version:    attempt.change.FromVersion,
+	}
+	if outcome.State == "released" {
+		outcome.Version = attempt.change.ToVersion
+	}
+	return outcome
+}
+
+func refuse(reason cranberryward.Reason, message string) error {
+	return cranberryward.NewFailure(cranberryward.NotRun, reason, message)
+}
+
+func (attempt *attempt) check(ctx context.Context) error {
+	if len(attempt.ports) == 0 {
+		return refuse(cranberryward.ReasonUnreachable, "the group's ranks are not all listed")
+	}
+	states, err := States(ctx, attempt.ports)
+	if err != nil {
+		return err
+	}
+	attempt.fencing = FencingOf(attempt.change.Fencing)
+	for _, state := range states {
+		switch {
+		case state.MapVersion != attempt.change.FromVersion:
+			return refuse(cranberryward.ReasonStale, "a rank runs another expert map version than the change starts from")
+		case !state.HasPrepared(attempt.change.ToVersion):
+			return refuse(cranberryward.ReasonStale, "a rank has not prepared the expert map version")
+		case state.HeldStep != 0:
+			return refuse(cranberryward.ReasonConflict, "a rank is held by another change")
+		case state.Fencing >= FencingOf(attempt.change.Fencing+1):
+			return refuse(cranberryward.ReasonFenced, "a rank has seen a newer holder of the group's lease")
+		}
+		attempt.fencing = max(attempt.fencing, state.Fencing)
+	}
+	attempt.fencing = max(attempt.fencing, attempt.switcher.used)
+	attempt.before = states
+	return nil
+}
+
+// States returns the states of all ranks, or the first failure.
+func States(ctx context.Context, ports []Port) ([]cranberryward.RankState, error) {
+	states := make([]cranberryward.RankState, len(ports))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, port := range ports {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			state, err := port.State(ctx)
+			states[i] = state
+			return err
+		})
+	}
+	return states, group.Wait()
+}
+
+func (attempt *attempt) next() uint64 {
+	attempt.fencing++
+	attempt.switcher.used = attempt.fencing
+	return attempt.fencing
+}
+
+func (attempt *attempt) run(ctx context.Context) (Outcome, error) {
+	// A change that has held the group is carried to its end even when its caller goes away.
+	ctx = context.WithoutCancel(ctx)
+	bound := time.Duration(attempt.change.HoldMillis) * time.Millisecond
+	attempt.fire(eventHold)
+	if !attempt.hold(ctx, bound/heldWaitShare) {
+		attempt.fire(eventRollBack)
+		attempt.restore(ctx, attempt.change.FromVersion)
+		attempt.fire(eventRestored)
+		return attempt.outcome(), refuse(cranberryward.ReasonUnreachable, "the group could not be held at a step boundary")
+	}
+	attempt.fire(eventHeld)
+	if attempt.switchAll(ctx, attempt.change.ToVersion) && attempt.allOn(ctx, attempt.change.ToVersion) {
+		attempt.release(ctx)
+		attempt.fire(eventSwitched)
+		return attempt.outcome(), nil
+	}
+	attempt.fire(eventRollBack)
+	attempt.restore(ctx, attempt.change.FromVersion)
+	attempt.fire(eventRestored)
+	return attempt.outcome(), refuse(cranberryward.ReasonUnreachable, "a rank did not follow the change; every rank runs the earlier version")
+}
+
+func (attempt *attempt) order(kind cranberryward.OrderKind, version, fencing uint64) cranberryward.Order {
+	return cranberryward.Order{
+		Kind:    kind,
+		Group:   attempt.change.Group,
+		Fencing: fencing,
+		Version: version,
+		Step:    attempt.step,
+	}
+}
+
+func (attempt *attempt) hold(ctx context.Context, wait time.Duration) bool {
+	gate := attempt.ports[0]
+	deadline := time.Now().Add(wait)
+	for range holdTries {
+		state, err := gate.State(ctx)
+		if err != nil {
+			return false
+		}
+		attempt.step = state.Step + leadSteps
+		if gate.Order(ctx, attempt.order(cranberryward.OrderHold, 0, attempt.next())) == nil {
+			return attempt.awaitHeld(ctx, deadline)
+		}
+	}
+	return false
+}
+
+func (attempt *attempt) awaitHeld(ctx context.Context, deadline time.Time) bool {
+	for time.Now().Before(deadline) {
+		state, err := attempt.ports[0].State(ctx)
+		if err == nil && state.Held && state.Step+1 == attempt.step {
+			return true
+		}
+		time.Sleep(pollDelay)
+	}
+	return false
+}
+
+// switchAll orders every rank to run a version from the held step on and returns whether all of them confirmed.
+func (attempt *attempt) switchAll(ctx context.Context, version uint64) bool {
+	order := attempt.order(cranberryward.OrderSwitch, version, attempt.next())
+	var group errgroup.Group
+	for _, port := range attempt.ports {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			return port.Order(ctx, order)
+		})
+	}
+	return group.Wait() == nil
+}
+
+func (attempt *attempt) allOn(ctx context.Context, version uint64) bool {
+	states, err := States(ctx, attempt.ports)
+	if err != nil {
+		return false
+	}
+	for i, state := range states {
+		if state.MapVersion != version || state.Incarnation != attempt.before[i].Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+// release ends the hold that the gate has, whichever of the hold orders took effect.
+func (attempt *attempt) release(ctx context.Context) {
+	gate := attempt.ports[0]
+	for {
+		state, err := gate.State(ctx)
+		if err == nil && state.HeldStep == 0 {
+			return
+		}
+		if err == nil {
+			order := attempt.order(cranberryward.OrderRelease, 0, attempt.next())
+			order.Step = state.HeldStep
+			err = gate.Order(ctx, order)
+		}
+		if err != nil {
+			time.Sleep(retryDelay)
+		}
+	}
+}
+
+// restore brings every rank back to the version and releases the group, trying until each rank is known to be safe.
+func (attempt *attempt) restore(ctx context.Context, version uint64) {
+	reported := time.Now()
+	for !attempt.restoreOnce(ctx, version) {
+		if time.Since(reported) > unresolvedEvery {
+			reported = time.Now()
+			_ = attempt.switcher.logger.Log("event", "group_held", "group", attempt.change.Group, "step", attempt.step,
+				"held_ms", time.Since(attempt.started).Milliseconds(), "reason", "a rank's version is unknown")
+		}
+		time.Sleep(retryDelay)
+	}
+	attempt.release(ctx)
+}
+
+func (attempt *attempt) restoreOnce(ctx context.Context, version uint64) bool {
+	order := attempt.order(cranberryward.OrderSwitch, version, attempt.next())
+	var group errgroup.Group
+	for i, port := range attempt.ports {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			err := port.Order(ctx, order)
+			if err == nil {
+				return nil
+			}
+			state, stateErr := port.State(ctx)
+			if stateErr != nil {
+				return err
+			}
+			restarted := len(attempt.before) > i && state.Incarnation != attempt.before[i].Incarnation
+			passed := state.Step >= attempt.step
+			if passed || (restarted && state.MapVersion == 0) {
+				return nil
+			}
+			return err
+		})
+	}
+	return group.Wait() == nil
+}
+
+// Resolve releases a group that an earlier driver left held, on the version that every rank has prepared.
+func (switcher *Switcher) Resolve(ctx context.Context) (resolved bool, err error) {
+	switcher.mutex.Lock()
+	defer switcher.mutex.Unlock()
+	ports := switcher.ports()
+	if len(ports) == 0 {
+		return false, nil
+	}
+	gate, err := ports[0].State(ctx)
+	if err != nil || gate.HeldStep == 0 {
+		return false, err
+	}
+	states, err := States(ctx, ports)
+	if err != nil {
+		return false, err
+	}
+	attempt := &attempt{
+		switcher: switcher,
+		ports:    ports,
+		change: Change{
+			Group:       switcher.group,
+			FromVersion: lowest(states),
+		},
+		machine: chart.Start(),
+		step:    gate.HeldStep,
+		started: time.Now(),
+		before:  states,
+		fencing: switcher.used,
+	}
+	for _, state := range states {
+		attempt.fencing = max(attempt.fencing, state.Fencing)
+	}
+	attempt.restore(ctx, attempt.change.FromVersion)
+	_ = switcher.logger.Log("event", "group_resolved", "group", switcher.group, "step", attempt.step, "version", attempt.change.FromVersion)
+	return true, nil
+}
+
+func lowest(states []cranberryward.RankState) uint64 {
+	version := uint64(0)
+	for _, state := range states {
+		if state.MapVersion != 0 && (version == 0 || state.MapVersion < version) {
+			version = state.MapVersion
+		}
+	}
+	return version
+}
--- /dev/null
+++ b/timekeeper/calendar.go
@@ -0,0 +1,47 @@
+package timekeeper
+
+import "time"
+
+// Calendar holds the quiet windows in force.
+type Calendar struct {
+	windows []Window
+}
+
+// NewCalendar returns a calendar of the windows.
+func NewCalendar(windows []Window) Calendar {
+	return Calendar{
+		windows: windows,
+	}
+}
+
+// Windows returns the windows of the calendar.
+func (calendar Calendar) Windows() []Window { return calendar.windows }
+
+// Quiet returns whether a window of the zone is open at any instant from the start to the end of an act, widened by the clock error.
+func (calendar Calendar) Quiet(zone string, start, end time.Time, clockError time.Duration) (Window, bool) {
+	start, end = start.Add(-clockError), end.Add(clockError)
+	for _, window := range calendar.windows {
+		if !window.Covers(zone) {
+			continue
+		}
+		opens, _, ok := window.Next(start)
+		if ok && !opens.After(end) {
+			return window, true
+		}
+	}
+	return Window{}, false
+}
+
+// NextQuiet returns when the next window of the zone opens and closes, or false when none is ahead.
+func (calendar Calendar) NextQuiet(zone string, now time.Time) (opens, closes time.Time, ok bool) {
+	for _, window := range calendar.windows {
+		if !window.Covers(zone) {
+			continue
+		}
+		start, end, found := window.Next(now)
+		if found && (!ok || start.Before(opens)) {
+			opens, closes, ok = start, end, true
+		}
+	}
+	return opens, closes, ok
+}
--- /dev/null
+++ b/timekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package timekeeper tells when quiet windows open and close in each zone.
+package timekeeper
--- /dev/null
+++ b/timekeeper/window.go
@@ -0,0 +1,144 @@
+package timekeeper
+
+import (
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// ClockLayout is the form of a daily start or end.
+	ClockLayout = "15:04"
+	// DateLayout is the form of a start or end on one date.
+	DateLayout = "2006-01-02 15:04"
+	// AnyZone stands for every availability zone.
+	AnyZone = "*"
+)
+
+// Window is a checked quiet window.
+type Window struct {
+	name     string
+	zone     string
+	daily    bool
+	start    time.Time
+	end      time.Time
+	location *time.Location
+}
+
+// NewWindow returns the window described by a row of the sheet.
+func NewWindow(row cranberryward.QuietWindow) (Window, error) {
+	location, err := time.LoadLocation(row.TimeZone)
+	if err != nil || row.TimeZone == "" {
+		return Window{}, eris.Errorf("time zone %q is not an IANA name", row.TimeZone)
+	}
+	window := Window{
+		name:     row.Name,
+		zone:     row.Zone,
+		location: location,
+	}
+	start, startErr := time.ParseInLocation(ClockLayout, row.Start, time.UTC)
+	end, endErr := time.ParseInLocation(ClockLayout, row.End, time.UTC)
+	if startErr == nil && endErr == nil {
+		if start.Equal(end) {
+			return Window{}, eris.Errorf("start and end are both %s", row.Start)
+		}
+		window.daily = true
+		window.start = start
+		window.end = end
+		return window, nil
+	}
+	start, startErr = time.ParseInLocation(DateLayout, row.Start, time.UTC)
+	end, endErr = time.ParseInLocation(DateLayout, row.End, time.UTC)
+	if startErr != nil || endErr != nil {
+		return Window{}, eris.Errorf("start %q and end %q are not both HH:MM or both YYYY-MM-DD HH:MM", row.Start, row.End)
+	}
+	window.start = earliest(start, location)
+	window.end = latest(end, location)
+	if !window.start.Before(window.end) {
+		return Window{}, eris.Errorf("end %q is not after start %q", row.End, row.Start)
+	}
+	return window, nil
+}
+
+// NewInterval returns a window between two instants.
+func NewInterval(name, zone string, from, until time.Time) Window {
+	return Window{
+		name:     name,
+		zone:     zone,
+		start:    from,
+		end:      until,
+		location: time.UTC,
+	}
+}
+
+// Name returns the window's name.
+func (window Window) Name() string { return window.name }
+
+// Zone returns the availability zone, or AnyZone.
+func (window Window) Zone() string { return window.zone }
+
+// Covers returns whether the window concerns the availability zone.
+func (window Window) Covers(zone string) bool {
+	return window.zone == AnyZone || window.zone == "" || window.zone == zone
+}
+
+// Next returns the first occurrence that ends after the instant, and false when there is none.
+func (window Window) Next(now time.Time) (start, end time.Time, ok bool) {
+	if !window.daily {
+		return window.start, window.end, now.Before(window.end)
+	}
+	today := now.In(window.location)
+	for offset := -2; offset <= 2; offset++ {
+		start, end := window.occurrence(today, offset)
+		if now.Before(end) {
+			return start, end, true
+		}
+	}
+	return time.Time{}, time.Time{}, false
+}
+
+func (window Window) occurrence(today time.Time, offset int) (start, end time.Time) {
+	year, month, day := today.Date()
+	endDay := day
+	if !window.start.Before(window.end) {
+		endDay++
+	}
+	start = earliest(time.Date(year, month, day+offset, window.start.Hour(), window.start.Minute(), 0, 0, time.UTC), window.location)
+	end = latest(time.Date(year, month, endDay+offset, window.end.Hour(), window.end.Minute(), 0, 0, time.UTC), window.location)
+	return start, end
+}
+
+// earliest returns the first instant at which clocks in the location show the wall time, or the last one before it where they skip it.
+func earliest(wall time.Time, location *time.Location) time.Time {
+	first, _ := instants(wall, location)
+	return first
+}
+
+func latest(wall time.Time, location *time.Location) time.Time {
+	_, last := instants(wall, location)
+	return last
+}
+
+const maxClockChange = 2 * time.Hour
+
+func instants(wall time.Time, location *time.Location) (first, last time.Time) {
+	_, before := wall.Add(-maxClockChange - 14*time.Hour).In(location).Zone()
+	_, after := wall.Add(maxClockChange + 14*time.Hour).In(location).Zone()
+	a := wall.Add(-time.Duration(before) * time.Second)
+	b := wall.Add(-time.Duration(after) * time.Second)
+	if a.After(b) {
+		a, b = b, a
+	}
+	shows := func(instant time.Time) bool {
+		local := instant.In(location)
+		return local.Hour() == wall.Hour() && local.Minute() == wall.Minute() && local.Day() == wall.Day()
+	}
+	switch {
+	case shows(a) && !shows(b):
+		return a, a
+	case shows(b) && !shows(a):
+		return b, b
+	}
+	return a, b
+}
