--- a/agent/server/settings.go
+++ b/agent/server/settings.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -10,33 +11,35 @@
 
 // Settings are the effective settings of an agent.
 type Settings struct {
-	ID           string        `json:"id"`
-	Zone         string        `json:"zone"`
-	Role         string        `json:"role"`
-	Listen       string        `json:"listen"`
-	PeerListen   string        `json:"peer_listen"`
-	Backend      string        `json:"backend"`
-	Group        string        `json:"group"`
-	Rank         int           `json:"rank"`
-	Service      string        `json:"service"`
-	Model        string        `json:"model"`
-	KeyValue     string        `json:"key_value"`
-	InstanceList string        `json:"instance_list"`
-	SharedKey    string        `json:"-"`
-	LogLevel     string        `json:"log_level"`
-	MaxBody      int           `json:"max_body"`
-	QueueLength  int           `json:"queue_length"`
-	LeavingBound time.Duration `json:"leaving_bound"`
-	HoldBound    time.Duration `json:"hold_bound"`
-	MaxAge       time.Duration `json:"max_age"`
-	ClockError   time.Duration `json:"clock_error"`
-	HomeLifetime time.Duration `json:"home_lifetime"`
-	ListLag      time.Duration `json:"list_lag"`
-	KeyRetention time.Duration `json:"key_retention"`
-	KeyCapacity  int           `json:"key_capacity"`
-	StopLimit    time.Duration `json:"stop_limit"`
-	MaxCrashes   int           `json:"max_crashes"`
-	ServiceLimit time.Duration `json:"service_limit"`
+	ID            string        `json:"id"`
+	Zone          string        `json:"zone"`
+	Role          string        `json:"role"`
+	Listen        string        `json:"listen"`
+	PeerListen    string        `json:"peer_listen"`
+	Backend       string        `json:"backend"`
+	Group         string        `json:"group"`
+	Rank          int           `json:"rank"`
+	Service       string        `json:"service"`
+	Model         string        `json:"model"`
+	KeyValue      string        `json:"key_value"`
+	InstanceList  string        `json:"instance_list"`
+	Advertise     string        `json:"advertise"`
+	PeerAdvertise string        `json:"peer_advertise"`
+	SharedKey     string        `json:"-"`
+	LogLevel      string        `json:"log_level"`
+	MaxBody       int           `json:"max_body"`
+	QueueLength   int           `json:"queue_length"`
+	LeavingBound  time.Duration `json:"leaving_bound"`
+	HoldBound     time.Duration `json:"hold_bound"`
+	MaxAge        time.Duration `json:"max_age"`
+	ClockError    time.Duration `json:"clock_error"`
+	HomeLifetime  time.Duration `json:"home_lifetime"`
+	ListLag       time.Duration `json:"list_lag"`
+	KeyRetention  time.Duration `json:"key_retention"`
+	KeyCapacity   int           `json:"key_capacity"`
+	StopLimit     time.Duration `json:"stop_limit"`
+	MaxCrashes    int           `json:"max_crashes"`
+	ServiceLimit  time.Duration `json:"service_limit"`
 }
 
 // Defaults returns settings with every default in place.
@@ -61,6 +64,8 @@
 	agent.Text(&settings.Model, "model", "", "Model that the engine runs")
 	agent.Address(&settings.KeyValue, "key-value", "127.0.0.1:7101", "Address of the platform's key-value service")
 	agent.Address(&settings.InstanceList, "instance-list", "127.0.0.1:7102", "Address of the platform's instance list")
+	agent.Text(&settings.Advertise, "advertise", "", "Address under which others reach the listen address, when it differs")
+	agent.Text(&settings.PeerAdvertise, "peer-advertise", "", "Address under which others reach the peer-listen address, when it differs")
 	agent.Secret(&settings.SharedKey, "shared-key", "Key that the deployment's processes prove to each other")
 	agent.Choice(&settings.LogLevel, "log-level", "info", "Lowest level of log lines", "debug", "info", "warn", "error")
 	agent.Number(&settings.MaxBody, "max-body", 1<<20, 1<<10, 64<<20, "bytes", "Longest request body")
@@ -84,8 +89,8 @@
 		ID:          settings.ID,
 		Zone:        settings.Zone,
 		Role:        cranberryward.Role(settings.Role),
-		Address:     settings.Listen,
-		PeerAddress: settings.PeerListen,
+		Address:     cmp.Or(settings.Advertise, settings.Listen),
+		PeerAddress: cmp.Or(settings.PeerAdvertise, settings.PeerListen),
 		Backend:     settings.Backend,
 		Group:       settings.Group,
 		Rank:        settings.Rank,
--- /dev/null
+++ b/cranberryward/administrator/client.go
@@ -0,0 +1,95 @@
+package administrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/dialer"
+	"github.com/cranberryward/cranberryward/entry/server"
+)
+
+const callTimeout = 30 * time.Second
+
+// Client calls one entry's administration interface.
+type Client struct {
+	address string
+	token   string
+	client  *http.Client
+}
+
+// New returns a client that shows the token to the entry at the address.
+func New(address, token string) *Client {
+	return &Client{
+		address: address,
+		token:   token,
+		client:  &http.Client{Transport: dialer.NewTransport()},
+	}
+}
+
+func (client *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var data []byte
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "encode request").WithCause(err)
+		}
+		data = encoded
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+client.address+path, bytes.NewReader(data))
+	if err != nil {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "the address "+strconv.Quote(client.address)+" is not IP:port").WithCause(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+client.token)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.client.Do(request)
+	if err != nil {
+		return dialer.FailureOfTransport(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return dialer.ReadFailure(response)
+	}
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonBroken, "the entry's answer was cut off").WithCause(err)
+	}
+	return nil
+}
+
+// Configuration returns the configuration that the entry holds.
+func (client *Client) Configuration(ctx context.Context) (configuration cranberryward.Configuration, err error) {
+	return configuration, client.call(ctx, http.MethodGet, "/admin/v1/configuration", nil, &configuration)
+}
+
+// History returns the last submissions that the entry applied one by one.
+func (client *Client) History(ctx context.Context) (entries []cranberryward.ConfigurationEntry, err error) {
+	return entries, client.call(ctx, http.MethodGet, "/admin/v1/history", nil, &entries)
+}
+
+// Status returns the state of the deployment as the entry sees it.
+func (client *Client) Status(ctx context.Context) (status server.Status, err error) {
+	return status, client.call(ctx, http.MethodGet, "/admin/v1/status", nil, &status)
+}
+
+// Zones returns which revision is in force in each zone.
+func (client *Client) Zones(ctx context.Context, revision uint64, wait time.Duration) (zones []server.ZoneStatus, err error) {
+	path := "/admin/v1/zones?revision=" + strconv.FormatUint(revision, 10) + "&wait=" + wait.String()
+	return zones, client.call(ctx, http.MethodGet, path, nil, &zones)
+}
+
+// Explain returns the log lines of a request or a group that the entry remembers.
+func (client *Client) Explain(ctx context.Context, name string) (lines []string, err error) {
+	return lines, client.call(ctx, http.MethodGet, "/admin/v1/explain/"+url.PathEscape(name), nil, &lines)
+}
+
+// Submit sends a submission, which may be sent again with the same id.
+func (client *Client) Submit(ctx context.Context, submission cranberryward.Submission) (status server.SubmissionStatus, err error) {
+	return status, client.call(ctx, http.MethodPost, "/admin/v1/submissions", submission, &status)
+}
--- /dev/null
+++ b/cranberryward/administrator/doc.go
@@ -0,0 +1,2 @@
+// Package administrator talks to the administration interface of an entry.
+package administrator
--- /dev/null
+++ b/cranberryward/commander/root.go
@@ -0,0 +1,44 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/integrii/flaggy"
+)
+
+// Run reads the arguments, runs the command that they name and returns the exit code.
+func Run(ctx context.Context, factory *Factory, arguments []string, commands ...*Command) ExitCode {
+	parser := flaggy.NewParser("cranberryward")
+	parser.Description = "Feeds the morning sheet and corrections to cranberryward and shows what is in force."
+	parser.Version = cranberryward.Version
+	parser.String(&factory.address, "", "address", "Administration address of an entry (environment "+addressVariable+")")
+	parser.String(&factory.token, "", "token", "Administration token (environment "+tokenVariable+")")
+	for _, command := range commands {
+		parser.AttachSubcommand(command.build(), 1)
+	}
+	if err := parser.ParseArgs(arguments); err != nil {
+		_, _ = fmt.Fprintln(factory.streams.errors, err)
+		return ExitUsage
+	}
+	for _, command := range commands {
+		if used := command.used(); used != nil {
+			return used.execute(ctx, factory, parser)
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+func (command *Command) execute(ctx context.Context, factory *Factory, parser *flaggy.Parser) ExitCode {
+	if command.run == nil {
+		parser.ShowHelp()
+		return ExitUsage
+	}
+	err := command.run(ctx)
+	if err != nil && err.Error() != "" {
+		_, _ = fmt.Fprintln(factory.streams.errors, err)
+	}
+	return CodeOf(err)
+}
--- /dev/null
+++ b/cranberryward/commander/streams.go
@@ -0,0 +1,81 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+)
+
+const columnGap = 2
+
+// Streams are the input and outputs of a command.
+type Streams struct {
+	in       io.Reader
+	out      io.Writer
+	errors   io.Writer
+	terminal bool
+}
+
+// NewStreams returns streams over the given files, with tables for people when the output is a terminal.
+func NewStreams(in io.Reader, out, errors io.Writer, terminal bool) Streams {
+	return Streams{
+		in:       in,
+		out:      out,
+		errors:   errors,
+		terminal: terminal,
+	}
+}
+
+// SystemStreams returns the streams of the process.
+func SystemStreams() Streams {
+	information, err := os.Stdout.Stat()
+	terminal := err == nil && information.Mode()&os.ModeCharDevice != 0
+	return NewStreams(os.Stdin, os.Stdout, os.Stderr, terminal)
+}
+
+// In returns the input.
+func (streams Streams) In() io.Reader { return streams.in }
+
+// Out returns the output for data.
+func (streams Streams) Out() io.Writer { return streams.out }
+
+// Errors returns the output for progress and errors.
+func (streams Streams) Errors() io.Writer { return streams.errors }
+
+// Printf writes a line of text to the output.
+func (streams Streams) Printf(format string, values ...any) {
+	_, _ = fmt.Fprintf(streams.out, format+"\n", values...)
+}
+
+// Progress writes a line about what is going on beside the data.
+func (streams Streams) Progress(format string, values ...any) {
+	_, _ = fmt.Fprintf(streams.errors, format+"\n", values...)
+}
+
+// JSON writes a value as indented JSON.
+func (streams Streams) JSON(value any) error {
+	encoder := json.NewEncoder(streams.out)
+	encoder.SetIndent("", "  ")
+	return eris.Wrap(encoder.Encode(value), "write JSON")
+}
+
+// Table writes rows under a header, aligned on a terminal and separated by tabs without a header in a pipe.
+func (streams Streams) Table(header []string, rows [][]string) {
+	if !streams.terminal {
+		for _, row := range rows {
+			streams.Printf("%s", strings.Join(row, "\t"))
+		}
+		return
+	}
+	writer := tabwriter.NewWriter(streams.out, 0, 0, columnGap, ' ', 0)
+	_, _ = fmt.Fprintln(writer, strings.Join(header, "\t"))
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	_ = writer.Flush()
+}
--- /dev/null
+++ b/cranberryward/commander/submission.go
@@ -0,0 +1,73 @@
+package commander
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
+	"github.com/cranberryward/cranberryward/entry/server"
+)
+
+const (
+	submitTries = 3
+	submitPause = 500 * time.Millisecond
+)
+
+// Submit sends a submission, again with the same id while its outcome is unknown, and shows where it is in force.
+func Submit(ctx context.Context, streams Streams, client *administrator.Client, submission cranberryward.Submission, asJSON bool) error {
+	var status server.SubmissionStatus
+	var err error
+	for try := range submitTries {
+		status, err = client.Submit(ctx, submission)
+		failure := cranberryward.FailureOf(orFailure(err))
+		if err == nil || failure.Verdict() != cranberryward.MayHaveRun {
+			break
+		}
+		streams.Progress("submission %s: outcome unknown, asking again with the same id (%d of %d)", submission.ID, try+1, submitTries)
+		time.Sleep(submitPause)
+	}
+	if err != nil {
+		return submissionError(submission.ID, err)
+	}
+	if asJSON {
+		if err := streams.JSON(status); err != nil {
+			return err
+		}
+	} else {
+		showSubmission(streams, status)
+	}
+	if !status.InForce {
+		return NewExitError(ExitNotInForce, "accepted, and not yet confirmed in force in every availability zone")
+	}
+	return nil
+}
+
+func orFailure(err error) error {
+	if err == nil {
+		return cranberryward.NewFailure(cranberryward.Ran, "", "")
+	}
+	return err
+}
+
+func submissionError(id string, err error) error {
+	failure := cranberryward.FailureOf(err)
+	if failure.Verdict() == cranberryward.MayHaveRun {
+		return NewExitError(ExitMayBeAccepted, "submission "+id+" may have been accepted: "+failure.Error()+"; submit again with --id "+id)
+	}
+	return err
+}
+
+func showSubmission(streams Streams, status server.SubmissionStatus) {
+	streams.Progress("submission %s accepted as revision %d", status.ID, status.Revision)
+	rows := [][]string{}
+	for _, zone := range status.Zones {
+		state := "in force"
+		if !zone.InForce {
+			state = "not confirmed"
+		}
+		rows = append(rows, []string{zone.Zone, state, strconv.FormatUint(zone.Revision, 10), strconv.Itoa(zone.Processes) + "/" + strconv.Itoa(zone.Listed), zone.Error})
+	}
+	streams.Table([]string{"ZONE", "STATE", "REVISION", "PROCESSES", "ERROR"}, rows)
+}
--- /dev/null
+++ b/cranberryward/correct/doc.go
@@ -0,0 +1,2 @@
+// Package correct holds the commands that make direct corrections.
+package correct
--- /dev/null
+++ b/cranberryward/correction/list/doc.go
@@ -0,0 +1,2 @@
+// Package list is the command that lists the corrections that lie over the sheet.
+package list
--- /dev/null
+++ b/cranberryward/correction/withdraw/doc.go
@@ -0,0 +1,2 @@
+// Package withdraw is the command that withdraws a correction.
+package withdraw
--- /dev/null
+++ b/cranberryward/correction/withdraw/withdraw.go
@@ -0,0 +1,49 @@
+package withdraw
+
+import (
+	"context"
+	"os"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/cranberryward/commander"
+	"github.com/integrii/flaggy"
+	"github.com/oklog/ulid/v2"
+)
+
+// Options are what the command needs.
+type Options struct {
+	factory    *commander.Factory
+	correction string
+	id         string
+	asJSON     bool
+}
+
+// New returns the command.
+func New(factory *commander.Factory) *commander.Command {
+	options := &Options{
+		factory: factory,
+	}
+	return commander.NewCommand("withdraw", "Withdraw a correction, so that the sheet holds again", "cranberryward correction withdraw 01K0EXAMPLE",
+		func(subcommand *flaggy.Subcommand) {
+			subcommand.AddPositionalValue(&options.correction, "ID", 1, true, "Id of the correction")
+			subcommand.String(&options.id, "", "id", "Id of an earlier try, to settle whether it was accepted")
+			subcommand.Bool(&options.asJSON, "", "json", "Print the outcome as JSON")
+		},
+		options.run)
+}
+
+func (options *Options) run(ctx context.Context) error {
+	client, err := options.factory.Administrator()
+	if err != nil {
+		return err
+	}
+	if options.id == "" {
+		options.id = ulid.Make().String()
+	}
+	return commander.Submit(ctx, options.factory.Streams(), client, cranberryward.Submission{
+		ID:       options.id,
+		Kind:     cranberryward.SubmitWithdrawal,
+		Author:   os.Getenv("USER"),
+		Withdraw: options.correction,
+	}, options.asJSON)
+}
--- /dev/null
+++ b/cranberryward/explain/doc.go
@@ -0,0 +1,2 @@
+// Package explain is the command that tells the story of a request or a group.
+package explain
--- /dev/null
+++ b/cranberryward/local/local.go
@@ -0,0 +1,76 @@
+package local
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberryward/cranberryward/cranberryward/commander"
+	"github.com/cranberryward/cranberryward/cranberryward/deployer"
+	"github.com/cranberryward/cranberryward/logger"
+	"github.com/go-kit/log"
+	"github.com/integrii/flaggy"
+)
+
+const (
+	smokeTimeout = 50 * time.Second
+	stopTimeout  = 10 * time.Second
+)
+
+// Options are what the command needs.
+type Options struct {
+	streams commander.Streams
+	smoke   bool
+	logs    bool
+}
+
+// New returns the command.
+func New(factory *commander.Factory) *commander.Command {
+	options := &Options{
+		streams: factory.Streams(),
+	}
+	return commander.NewCommand("local", "Run three availability zones with stand-ins on loopback in one process", "cranberryward local --smoke",
+		func(subcommand *flaggy.Subcommand) {
+			subcommand.Bool(&options.smoke, "", "smoke", "Try one of each thing, print a line for each and exit")
+			subcommand.Bool(&options.logs, "", "logs", "Write the log lines of all processes to standard error")
+		},
+		options.run)
+}
+
+func (options *Options) run(ctx context.Context) error {
+	settings := deployer.DefaultOptions()
+	settings.Logger = log.NewNopLogger()
+	if options.logs {
+		settings.Logger = logger.New(options.streams.Errors(), "local", "local", "all", "info")
+	}
+	deployment, err := deployer.Start(ctx, settings)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		deployment.Stop(stopping)
+	}()
+	if options.smoke {
+		ctx, cancel := context.WithTimeout(ctx, smokeTimeout)
+		defer cancel()
+		return options.runSmoke(ctx, deployment)
+	}
+	options.greet(deployment)
+	<-ctx.Done()
+	return nil
+}
+
+func (options *Options) greet(deployment *deployer.Deployment) {
+	for number := range deployment.Entries() {
+		settings := deployment.EntrySettings(number)
+		options.streams.Printf("%s callers http://%s operators %s", settings.ID, settings.Listen, settings.AdminListen)
+	}
+	first := deployment.EntrySettings(0)
+	options.streams.Printf("\nTry a request:\n  curl -sN http://%s/v1/chat/completions -H 'Content-Type: application/json' \\\n"+
+		"    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":16,\"messages\":[{\"role\":\"user\",\"content\":\"Rimaykullayki\"}]}'",
+		first.Listen, deployer.Model)
+	options.streams.Printf("\nTry a sheet:\n  export CRANBERRYWARD_ADMIN=%s CRANBERRYWARD_TOKEN=%s\n"+
+		"  go run ./cranberryward sheet submit examples/parlamigo.csv\n  go run ./cranberryward status", first.AdminListen, deployer.OperatorToken)
+	options.streams.Printf("\nInterrupt to stop.")
+}
--- /dev/null
+++ b/cranberryward/local/smoke.go
@@ -0,0 +1,218 @@
+package local
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
+	"github.com/cranberryward/cranberryward/cranberryward/commander"
+	"github.com/cranberryward/cranberryward/cranberryward/deployer"
+	"github.com/cranberryward/cranberryward/deduplicator"
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	smokeTokens = 12
+	smokePhase  = 0.4
+	smokePoll   = 50 * time.Millisecond
+)
+
+type smokeStep struct {
+	name string
+	run  func(ctx context.Context, deployment *deployer.Deployment) (string, error)
+}
+
+func (options *Options) runSmoke(ctx context.Context, deployment *deployer.Deployment) error {
+	steps := []smokeStep{
+		{name: "streamed model request", run: streamRequest},
+		{name: "booking sent twice with one key", run: bookTwice},
+		{name: "expert map change", run: changeMap},
+		{name: "sheet with a quiet window", run: submitSheet},
+		{name: "correction", run: submitCorrection},
+	}
+	failed := 0
+	for _, step := range steps {
+		started := time.Now()
+		note, err := step.run(ctx, deployment)
+		if err != nil {
+			failed++
+			options.streams.Printf("FAILED  %s: %v", step.name, err)
+			continue
+		}
+		options.streams.Printf("ok      %s: %s (%d ms)", step.name, note, time.Since(started).Milliseconds())
+	}
+	if failed > 0 {
+		return commander.NewExitError(commander.ExitFailed, fmt.Sprintf("%d of %d steps failed", failed, len(steps)))
+	}
+	return nil
+}
+
+func send(ctx context.Context, url, body, key string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "make request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set(cranberryward.HeaderIdempotencyKey, key)
+	}
+	return http.DefaultClient.Do(request)
+}
+
+func streamRequest(ctx context.Context, deployment *deployer.Deployment) (string, error) {
+	url := "http://" + deployment.EntrySettings(0).Listen + "/v1/chat/completions"
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hola"}]}`, deployer.Model, smokeTokens)
+	response, err := send(ctx, url, body, "")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, events, done := "", 0, false
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return "", eris.Wrap(err, "read event")
+		}
+		events++
+		for _, choice := range chunk.Choices {
+			text += choice.Delta.Content
+		}
+	}
+	id := response.Header.Get(cranberryward.HeaderRequestID)
+	for zone := range deployment.Groups() {
+		for rank := range deployment.Group(zone).Ranks() {
+			for _, execution := range deployment.Group(zone).Rank(rank).Executions() {
+				if execution.RequestID == id && execution.Text == text && done {
+					return fmt.Sprintf("%d bytes in %d events, the same as the engine made", len(text), events), nil
+				}
+			}
+		}
+	}
+	return "", eris.Errorf("answer %q of request %s is not what an engine made, done %v", text, id, done)
+}
+
+func bookTwice(ctx context.Context, deployment *deployer.Deployment) (string, error) {
+	key := deduplicator.NewKey()
+	var bodies []string
+	for _, number := range []int{0, deployment.Entries() - 1} {
+		url := "http://" + deployment.EntrySettings(number).Listen + "/services/" + deployer.ServiceName + "/bookings"
+		response, err := send(ctx, url, `{"student":"ana","volunteer":"tom"}`, key)
+		if err != nil {
+			return "", err
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK {
+			return "", eris.Errorf("status %d: %s", response.StatusCode, body)
+		}
+		bodies = append(bodies, string(body))
+	}
+	runs := 0
+	for zone := range deployment.Services() {
+		for _, execution := range deployment.Service(zone).Executions() {
+			if execution.Key == key {
+				runs++
+			}
+		}
+	}
+	if runs != 1 || bodies[0] != bodies[1] {
+		return "", eris.Errorf("%d runs, answers %q", runs, bodies)
+	}
+	return "ran once, both callers got its first answer", nil
+}
+
+func admin(deployment *deployer.Deployment, number int) *administrator.Client {
+	return administrator.New(deployment.EntrySettings(number).AdminListen, deployer.OperatorToken)
+}
+
+func submitSheet(ctx context.Context, deployment *deployer.Deployment) (string, error) {
+	return submit(ctx, deployment, cranberryward.Submission{
+		Kind: cranberryward.SubmitSheet,
+		Sheet: &cranberryward.Sheet{
+			QuietWindows: []cranberryward.QuietWindow{{
+				Name:     "night",
+				Zone:     "*",
+				Start:    "22:00",
+				End:      "06:00",
+				TimeZone: "America/Guayaquil",
+			}},
+		},
+	})
+}
+
+func submitCorrection(ctx context.Context, deployment *deployer.Deployment) (string, error) {
+	return submit(ctx, deployment, cranberryward.Submission{
+		Kind: cranberryward.SubmitCorrection,
+		Correction: &cranberryward.Correction{
+			ID:    "smoke",
+			Kind:  cranberryward.CorrectPriority,
+			Name:  "tutors",
+			Value: "9",
+		},
+	})
+}
+
+func submit(ctx context.Context, deployment *deployer.Deployment, submission cranberryward.Submission) (string, error) {
+	submission.ID = ulid.Make().String()
+	client := admin(deployment, 0)
+	configuration, err := client.Configuration(ctx)
+	if err != nil {
+		return "", err
+	}
+	submission.BaseRevision = configuration.Revision
+	status, err := client.Submit(ctx, submission)
+	if err != nil {
+		return "", err
+	}
+	if !status.InForce {
+		return "", eris.Errorf("revision %d is not in force: %+v", status.Revision, status.Zones)
+	}
+	return fmt.Sprintf("revision %d in force in %d zones", status.Revision, len(status.Zones)), nil
+}
+
+// changeMap moves the popularity of the experts and waits until a controller has moved a group to a new map.
+func changeMap(ctx context.Context, deployment *deployer.Deployment) (string, error) {
+	group := deployment.Group(0)
+	before := group.Skew()
+	group.SetPhase(smokePhase)
+	for {
+		records := group.StepLog()
+		versions := map[uint64]uint64{}
+		for _, record := range records {
+			if version, seen := versions[record.Step]; seen && version != record.MapVersion {
+				return "", eris.Errorf("step %d ran on map versions %d and %d", record.Step, version, record.MapVersion)
+			}
+			versions[record.Step] = record.MapVersion
+		}
+		if last := records[len(records)-1]; last.MapVersion > 1 {
+			return fmt.Sprintf("version %d on all ranks from one step on, skew %.2f before and %.2f after, held %v",
+				last.MapVersion, before, group.Skew(), group.MaxHeld().Round(time.Millisecond)), nil
+		}
+		select {
+		case <-ctx.Done():
+			return "", eris.Wrap(ctx.Err(), "no new map was put in place")
+		case <-time.After(smokePoll):
+		}
+	}
+}
--- /dev/null
+++ b/cranberryward/prover/fleet_test.go
@@ -0,0 +1,606 @@
+package prover
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+)
+
+const (
+	testKey     = "integration-key"
+	testToken   = "integration-token"
+	testModel   = "assistant"
+	testService = "booking"
+	awaitLimit  = 30 * time.Second
+	awaitPoll   = 10 * time.Millisecond
+)
+
+var (
+	seed   = flag.Uint64("seed", 1, "seed of random choices in the tests")
+	rounds = flag.Int("rounds", 1, "rounds of tests with random choices")
+	binary string
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	directory, err := os.MkdirTemp("", "prover")
+	if err != nil {
+		panic(err)
+	}
+	binary = directory
+	for _, program := range []string{"agent", "entry", "standin"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(directory, program), "github.com/cranberryward/cranberryward/"+program)
+		if output, err := build.CombinedOutput(); err != nil {
+			panic(string(output))
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// process is one program that the test started.
+type process struct {
+	t         *testing.T
+	name      string
+	program   string
+	arguments []string
+	command   *exec.Cmd
+	exited    chan struct{}
+	output    *bytes.Buffer
+	mutex     sync.Mutex
+}
+
+func (process *process) start() {
+	process.t.Helper()
+	command := exec.Command(filepath.Join(binary, process.program), process.arguments...)
+	process.mutex.Lock()
+	process.output = &bytes.Buffer{}
+	process.mutex.Unlock()
+	command.Stdout = process
+	command.Stderr = process
+	if err := command.Start(); err != nil {
+		process.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	process.command, process.exited = command, exited
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+}
+
+func (process *process) Write(data []byte) (int, error) {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.output.Write(data)
+}
+
+func (process *process) log() string {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.output.String()
+}
+
+func (process *process) signal(signal syscall.Signal) { _ = process.command.Process.Signal(signal) }
+
+func (process *process) kill() {
+	process.signal(syscall.SIGKILL)
+	<-process.exited
+}
+
+func (process *process) stop() {
+	process.signal(syscall.SIGTERM)
+	<-process.exited
+}
+
+func (process *process) freeze() { process.signal(syscall.SIGSTOP) }
+
+func (process *process) thaw() { process.signal(syscall.SIGCONT) }
+
+// member is an entry or an agent with the proxies before it.
+type member struct {
+	*process
+	id       string
+	zone     string
+	address  string
+	admin    string
+	backend  string
+	requests *faulter.Proxy
+	peers    *faulter.Proxy
+	keyValue *faulter.Proxy
+	list     *faulter.Proxy
+	engine   *faulter.Proxy
+}
+
+// cutPlatform changes the member's way to the platform.
+func (member *member) cutPlatform(mode faulter.Mode) {
+	member.keyValue.SetMode(mode)
+	member.list.SetMode(mode)
+}
+
+// cutPeers changes every other process's way to the member.
+func (member *member) cutPeers(mode faulter.Mode) {
+	member.requests.SetMode(mode)
+	member.peers.SetMode(mode)
+}
+
+type fleet struct {
+	t        *testing.T
+	zones    []string
+	keyValue string
+	list     string
+	weights  string
+	entries  []*member
+	engines  []*member
+	services []*member
+	platform map[string]*process
+	extra    []string
+}
+
+type fleetOptions struct {
+	zones          int
+	entriesPerZone int
+	ranksPerZone   int
+	entryFlags     []string
+	agentFlags     []string
+}
+
+func freeAddress(t *testing.T, ip string) string {
+	t.Helper()
+	held, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = held.Close() }()
+	return held.Addr().String()
+}
+
+func newFleet(t *testing.T, options fleetOptions) *fleet {
+	t.Helper()
+	t.Logf("seed %d, rounds %d", *seed, *rounds)
+	fleet := &fleet{
+		t:        t,
+		platform: map[string]*process{},
+	}
+	fleet.keyValue = fleet.standin("keyvalue", "127.90.0.1")
+	fleet.list = fleet.standin("list", "127.90.0.2")
+	fleet.weights = fleet.standin("weights", "127.90.0.3")
+	for zone := range options.zones {
+		fleet.addZone(zone, options)
+	}
+	fleet.awaitReady()
+	return fleet
+}
+
+func (fleet *fleet) run(name, program string, arguments ...string) *process {
+	process := &process{
+		t:         fleet.t,
+		name:      name,
+		program:   program,
+		arguments: arguments,
+	}
+	process.start()
+	fleet.t.Cleanup(func() {
+		process.thaw()
+		process.kill()
+		if fleet.t.Failed() && os.Getenv("PROVER_LOGS") != "" {
+			fleet.t.Logf("%s:\n%s", name, process.log())
+		}
+	})
+	return process
+}
+
+func (fleet *fleet) standin(kind, ip string, arguments ...string) string {
+	address := freeAddress(fleet.t, ip)
+	fleet.platform[kind+" "+address] = fleet.run(kind, "standin", append([]string{kind, "--listen", address}, arguments...)...)
+	fleet.platform[kind] = fleet.platform[kind+" "+address]
+	awaitListening(fleet.t, address)
+	return address
+}
+
+func awaitListening(t *testing.T, address string) {
+	t.Helper()
+	await(t, address+" listens", func() bool {
+		connection, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = connection.Close()
+		}
+		return err == nil
+	})
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(awaitLimit)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", awaitLimit, what)
+		}
+		pause(awaitPoll)
+	}
+}
+
+func pause(delay time.Duration) { <-time.After(delay) }
+
+func (fleet *fleet) proxy(ip, target string) *faulter.Proxy {
+	proxy, err := faulter.NewProxy(ip+":0", target)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	fleet.t.Cleanup(proxy.Close)
+	return proxy
+}
+
+func (fleet *fleet) addZone(zone int, options fleetOptions) {
+	name := fmt.Sprintf("zone-%c", 'a'+zone)
+	fleet.zones = append(fleet.zones, name)
+	for number := range options.entriesPerZone {
+		fleet.entries = append(fleet.entries, fleet.addEntry(name, fmt.Sprintf("127.9%d.1.%d", zone+1, number+1), fmt.Sprintf("%s-entry-%d", name, number), options))
+	}
+	if options.ranksPerZone > 0 {
+		fleet.addGroup(zone, name, options)
+	}
+	backend := fleet.standin("service", fmt.Sprintf("127.9%d.3.1", zone+1), "--name", testService)
+	fleet.services = append(fleet.services, fleet.addAgent(name, fmt.Sprintf("127.9%d.4.1", zone+1), name+"-"+testService, backend, options,
+		"--role", "service", "--service", testService))
+}
+
+func (fleet *fleet) newMember(zone, ip, id string) *member {
+	return &member{
+		id:       id,
+		zone:     zone,
+		address:  freeAddress(fleet.t, ip),
+		keyValue: fleet.proxy(ip, fleet.keyValue),
+		list:     fleet.proxy(ip, fleet.list),
+	}
+}
+
+func (fleet *fleet) memberFlags(member *member, ip string) []string {
+	peers := freeAddress(fleet.t, ip)
+	member.requests = fleet.proxy(ip, member.address)
+	member.peers = fleet.proxy(ip, peers)
+	return []string{"--id", member.id, "--zone", member.zone, "--listen", member.address, "--peer-listen", peers,
+		"--advertise", member.requests.Address(), "--peer-advertise", member.peers.Address(),
+		"--key-value", member.keyValue.Address(), "--instance-list", member.list.Address(), "--shared-key", testKey}
+}
+
+func (fleet *fleet) addEntry(zone, ip, id string, options fleetOptions) *member {
+	member := fleet.newMember(zone, ip, id)
+	member.admin = freeAddress(fleet.t, ip)
+	digest := sha256.Sum256([]byte(testToken))
+	flags := append(fleet.memberFlags(member, ip), "--admin-listen", member.admin, "--services", testService+"=GET:/",
+		"--tokens", "operator:"+hex.EncodeToString(digest[:]), "--stop-grace", "300ms", "--plan-interval", "1s")
+	member.process = fleet.run(id, "entry", append(flags, options.entryFlags...)...)
+	return member
+}
+
+func (fleet *fleet) addAgent(zone, ip, id, backend string, options fleetOptions, flags ...string) *member {
+	member := fleet.newMember(zone, ip, id)
+	member.backend = backend
+	member.engine = fleet.proxy(ip, backend)
+	all := append(fleet.memberFlags(member, ip), "--backend", member.engine.Address())
+	all = append(append(all, flags...), options.agentFlags...)
+	member.process = fleet.run(id, "agent", all...)
+	return member
+}
+
+func (fleet *fleet) addGroup(zone int, name string, options fleetOptions) {
+	var addresses []string
+	for rank := range options.ranksPerZone {
+		addresses = append(addresses, freeAddress(fleet.t, fmt.Sprintf("127.9%d.2.%d", zone+1, rank+1)))
+	}
+	group := name + "-group"
+	fleet.run(group, "standin", "engine", "--listen", strings.Join(addresses, ","), "--group", group, "--model", testModel, "--weights", fleet.weights)
+	for rank, address := range addresses {
+		awaitListening(fleet.t, address)
+		fleet.engines = append(fleet.engines, fleet.addAgent(name, fmt.Sprintf("127.9%d.4.%d", zone+1, rank+2), fmt.Sprintf("%s-engine-%d", name, rank), address, options,
+			"--role", "engine", "--group", group, "--rank", fmt.Sprint(rank), "--model", testModel))
+	}
+}
+
+func (fleet *fleet) members() []*member {
+	return append(append(append([]*member{}, fleet.entries...), fleet.engines...), fleet.services...)
+}
+
+func (fleet *fleet) administrator(entry *member) *administrator.Client {
+	return administrator.New(entry.admin, testToken)
+}
+
+func (fleet *fleet) awaitReady() {
+	fleet.t.Helper()
+	for _, entry := range fleet.entries {
+		fleet.awaitEntry(entry)
+	}
+	await(fleet.t, "every zone is confirmed by all its processes", func() bool {
+		zones, err := fleet.administrator(fleet.entries[0]).Zones(context.Background(), 0, 0)
+		if err != nil || len(zones) != len(fleet.zones) {
+			return false
+		}
+		listed := 0
+		for _, zone := range zones {
+			if !zone.InForce {
+				return false
+			}
+			listed += zone.Listed
+		}
+		return listed == len(fleet.members())
+	})
+	fleet.awaitBooking()
+}
+
+func (fleet *fleet) awaitEntry(entry *member) {
+	fleet.t.Helper()
+	awaitListening(fleet.t, entry.address)
+	await(fleet.t, entry.id+" is ready", func() bool {
+		response, err := http.Get("http://" + entry.address + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// awaitBooking waits until every entry can place a booking, so that the homes of keys are settled.
+func (fleet *fleet) awaitBooking() {
+	for _, entry := range fleet.entries {
+		await(fleet.t, "a booking through "+entry.id, func() bool {
+			return fleet.book(entry, newKey(), "warm-up").status == http.StatusOK
+		})
+	}
+}
+
+// answer is what a caller received.
+type answer struct {
+	status    int
+	requestID string
+	text      string
+	whole     bool
+	failure   cranberryward.ErrorDetail
+	err       error
+}
+
+func (answer answer) verdict() cranberryward.Verdict {
+	if answer.whole {
+		return cranberryward.Ran
+	}
+	return cranberryward.ParseVerdict(answer.failure.Verdict)
+}
+
+func (fleet *fleet) send(ctx context.Context, entry *member, path, body string, header map[string]string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	return caller.Do(request)
+}
+
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (fleet *fleet) book(entry *member, key, body string) answer {
+	return fleet.bookWithin(entry, key, body, "10s")
+}
+
+func (fleet *fleet) bookWithin(entry *member, key, body, deadline string) answer {
+	response, err := fleet.send(context.Background(), entry, "/services/"+testService+"/bookings", body, map[string]string{
+		cranberryward.HeaderIdempotencyKey: key,
+		cranberryward.HeaderDeadline:       deadline,
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+	return readWhole(response)
+}
+
+func readWhole(response *http.Response) answer {
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	received := answer{
+		status:    response.StatusCode,
+		requestID: response.Header.Get(cranberryward.HeaderRequestID),
+		text:      string(data),
+		err:       err,
+		whole:     err == nil && response.StatusCode == http.StatusOK,
+	}
+	var message cranberryward.ErrorMessage
+	if json.Unmarshal(data, &message) == nil {
+		received.failure = message.Error
+	}
+	return received
+}
+
+// stream sends a streamed chat request and reads its events to the end.
+func (fleet *fleet) stream(ctx context.Context, entry *member, prompt string, tokens int, header map[string]string) answer {
+	body, _ := json.Marshal(map[string]any{
+		"model":      testModel,
+		"stream":     true,
+		"max_tokens": tokens,
+		"messages":   []map[string]string{{"role": "user", "content": prompt}},
+	})
+	response, err := fleet.send(ctx, entry, "/v1/chat/completions", string(body), header)
+	if err != nil {
+		return answer{err: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return readWhole(response)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readEvents(response)
+}
+
+func readEvents(response *http.Response) answer {
+	received := answer{
+		status:    response.StatusCode,
+		requestID: response.Header.Get(cranberryward.HeaderRequestID),
+	}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			received.whole = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Error *cranberryward.ErrorDetail `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			received.err = err
+			return received
+		}
+		if chunk.Error != nil {
+			received.failure = *chunk.Error
+		}
+		for _, choice := range chunk.Choices {
+			received.text += choice.Delta.Content
+		}
+	}
+	received.err = scanner.Err()
+	return received
+}
+
+func getJSON(t *testing.T, url string, value any) {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func postJSON(t *testing.T, url string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("%s answered %d", url, response.StatusCode)
+	}
+}
+
+func (fleet *fleet) setFaults(address string, faults any) {
+	fleet.t.Helper()
+	postJSON(fleet.t, "http://"+address+"/faults", faults)
+}
+
+// bookings returns how often each key ran, over all backend servers of the plain service.
+func (fleet *fleet) bookings() map[string]int {
+	runs := map[string]int{}
+	for _, service := range fleet.services {
+		var executions []cranberryward.Execution
+		getJSON(fleet.t, "http://"+service.backend+"/log", &executions)
+		for _, execution := range executions {
+			runs[execution.Key]++
+		}
+	}
+	return runs
+}
+
+// generated returns what the engines made, by request id.
+func (fleet *fleet) generated() map[string]cranberryward.Execution {
+	made := map[string]cranberryward.Execution{}
+	for _, engine := range fleet.engines {
+		var executions []cranberryward.Execution
+		getJSON(fleet.t, "http://"+engine.backend+"/log/executions", &executions)
+		for _, execution := range executions {
+			made[execution.RequestID] = execution
+		}
+	}
+	return made
+}
+
+// checkWhole fails the test when an answer shown as whole is not what an engine made for that very request.
+func (fleet *fleet) checkWhole(answers []answer) {
+	fleet.t.Helper()
+	made := fleet.generated()
+	for _, received := range answers {
+		if !received.whole {
+			continue
+		}
+		matched := false
+		for id, execution := range made {
+			own := id == received.requestID || strings.HasPrefix(id, received.requestID+"-")
+			matched = matched || (own && execution.Finished && execution.Text == received.text)
+		}
+		if !matched {
+			fleet.t.Errorf("request %s: the answer %q is not what an engine made for it", received.requestID, received.text)
+		}
+	}
+}
+
+// checkNotRun fails the test when a request that was refused as not run did run.
+func (fleet *fleet) checkNotRun(answers []answer) {
+	fleet.t.Helper()
+	made := fleet.generated()
+	for _, received := range answers {
+		if received.whole || received.verdict() != cranberryward.NotRun || received.requestID == "" {
+			continue
+		}
+		for id := range made {
+			if id == received.requestID || strings.HasPrefix(id, received.requestID+"-") {
+				fleet.t.Errorf("request %s was refused as not run and ran: %+v", received.requestID, received.failure)
+			}
+		}
+	}
+}
+
+// steps returns the step log of a zone's group.
+func (fleet *fleet) steps(zone int) []cranberryward.StepRecord {
+	var records []cranberryward.StepRecord
+	getJSON(fleet.t, "http://"+fleet.engines[zone*len(fleet.engines)/len(fleet.zones)].backend+"/log/steps", &records)
+	return records
+}
+
+// checkSteps fails the test when a step ran on two versions of the expert map and returns the last version.
+func checkSteps(t *testing.T, records []cranberryward.StepRecord) (last uint64) {
+	t.Helper()
+	versions := map[uint64]uint64{}
+	for _, record := range records {
+		if version, seen := versions[record.Step]; seen && version != record.MapVersion {
+			t.Fatalf("step %d ran on expert map versions %d and %d", record.Step, version, record.MapVersion)
+		}
+		versions[record.Step] = record.MapVersion
+		last = record.MapVersion
+	}
+	return last
+}
--- /dev/null
+++ b/cranberryward/sheet/check/doc.go
@@ -0,0 +1,2 @@
+// Package check is the command that checks a sheet without the network.
+package check
--- /dev/null
+++ b/cranberryward/sheet/diff/doc.go
@@ -0,0 +1,2 @@
+// Package diff is the command that compares a sheet with the one in force.
+package diff
--- /dev/null
+++ b/cranberryward/status/doc.go
@@ -0,0 +1,2 @@
+// Package status is the command that shows the state of the deployment.
+package status
--- /dev/null
+++ b/cranberryward/version/doc.go
@@ -0,0 +1,2 @@
+// Package version is the command that prints the program's version.
+package version
--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -34,6 +35,8 @@
 	client   *caller.Client
 	logger   log.Logger
 	listedAt time.Time
+	parent   atomic.Pointer[cranberryward.Instance]
+	reported string
 }
 
 // FollowerSettings say who follows and by which means.
@@ -95,6 +98,7 @@
 		}
 		fresh, err := follower.pull(ctx, parent)
 		if err == nil && fresh {
+			follower.parent.Store(&parent)
 			return true
 		}
 	}
@@ -111,6 +115,7 @@
 	if err != nil {
 		return false
 	}
+	follower.parent.Store(nil)
 	follower.advance(update)
 	follower.holder.Confirm(started)
 	return true
@@ -217,25 +222,28 @@
 	}
 }
 
+// confirm reports to the parent that the configuration came from, and takes itself off an earlier parent's list.
 func (follower *Follower) confirm(ctx context.Context, revision uint64, processes int) {
-	membership := follower.holder.Membership()
-	if follower.entry && IsRoot(membership, follower.zone, follower.id) {
-		return
+	address := ""
+	if parent := follower.parent.Load(); parent != nil {
+		address = parent.PeerAddress
+	}
+	if follower.reported != "" && follower.reported != address {
+		follower.report(ctx, follower.reported, 0, 0)
 	}
+	follower.reported = address
+	if address != "" {
+		follower.report(ctx, address, revision, processes)
+	}
+}
+
+func (follower *Follower) report(ctx context.Context, address string, revision uint64, processes int) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	for _, parent := range Parents(membership, follower.zone, follower.id) {
-		if parent.ID == follower.id {
-			continue
-		}
-		var reply ConfirmReply
-		err := follower.client.Call(ctx, parent.PeerAddress, "Distributor.Confirm", ConfirmRequest{
-			From:      follower.id,
-			InForce:   revision,
-			Processes: processes,
-		}, &reply)
-		if err == nil {
-			return
-		}
-	}
+	var reply ConfirmReply
+	_ = follower.client.Call(ctx, address, "Distributor.Confirm", ConfirmRequest{
+		From:      follower.id,
+		InForce:   revision,
+		Processes: processes,
+	}, &reply)
 }
--- a/distributor/message.go
+++ b/distributor/message.go
@@ -23,7 +23,7 @@
 	ParentInForce uint64
 }
 
-// ConfirmRequest tells the parent which revision is in force on every process below and including the child.
+// ConfirmRequest tells the parent which revision is in force on every process below and including the child, or with no processes that the child has another parent now.
 type ConfirmRequest struct {
 	From      string
 	InForce   uint64
--- a/distributor/service.go
+++ b/distributor/service.go
@@ -103,10 +103,14 @@
 func (service *Service) Confirm(request ConfirmRequest, _ *ConfirmReply) error {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
-	service.children[request.From] = child{
-		inForce:   request.InForce,
-		processes: request.Processes,
-		at:        time.Now(),
+	if request.Processes == 0 {
+		delete(service.children, request.From)
+	} else {
+		service.children[request.From] = child{
+			inForce:   request.InForce,
+			processes: request.Processes,
+			at:        time.Now(),
+		}
 	}
 	close(service.changed)
 	service.changed = make(chan struct{})
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
@@ -32,6 +33,8 @@
 	PeerListen     string        `json:"peer_listen"`
 	KeyValue       string        `json:"key_value"`
 	InstanceList   string        `json:"instance_list"`
+	Advertise      string        `json:"advertise"`
+	PeerAdvertise  string        `json:"peer_advertise"`
 	SharedKey      string        `json:"-"`
 	Tokens         []Token       `json:"-"`
 	Services       []Service     `json:"services"`
@@ -163,6 +166,8 @@
 	entry.Address(&settings.PeerListen, "peer-listen", "127.0.0.1:7203", "Address for calls from the project's processes")
 	entry.Address(&settings.KeyValue, "key-value", "127.0.0.1:7101", "Address of the platform's key-value service")
 	entry.Address(&settings.InstanceList, "instance-list", "127.0.0.1:7102", "Address of the platform's instance list")
+	entry.Text(&settings.Advertise, "advertise", "", "Address under which others reach the listen address, when it differs")
+	entry.Text(&settings.PeerAdvertise, "peer-advertise", "", "Address under which others reach the peer-listen address, when it differs")
 	entry.Secret(&settings.SharedKey, "shared-key", "Key that the deployment's processes prove to each other")
 	entry.Parsed("tokens", "role:hash,...", "", "Administration tokens as hashes with their roles", func(value string) (expected string) {
 		settings.Tokens, expected = parseTokens(value)
@@ -199,8 +204,8 @@
 		ID:          settings.ID,
 		Zone:        settings.Zone,
 		Role:        cranberryward.RoleEntry,
-		Address:     settings.Listen,
-		PeerAddress: settings.PeerListen,
+		Address:     cmp.Or(settings.Advertise, settings.Listen),
+		PeerAddress: cmp.Or(settings.PeerAdvertise, settings.PeerListen),
 		Incarnation: ulid.Make().String(),
 	}
 }
--- a/entry/server/track.go
+++ b/entry/server/track.go
@@ -95,6 +95,7 @@
 			version = membership.Version
 			entry.pools.sync(membership, entry.settings.Zone, entry.settings.ID)
 		}
+		entry.learnHomes(ctx)
 		for _, pool := range entry.pools.all() {
 			for id, known := range pool.Stale(reportAge) {
 				go entry.askReport(ctx, pool, id, known)
@@ -108,6 +109,15 @@
 	}
 }
 
+// learnHomes asks for the tables of key homes that are not known yet.
+func (entry *entry) learnHomes(ctx context.Context) {
+	for _, service := range entry.settings.Services {
+		if entry.homes.get(service.name).Epoch == 0 {
+			entry.refreshHomes(ctx, service.name)
+		}
+	}
+}
+
 func (entry *entry) askReport(ctx context.Context, pool *pool.Pool, id string, known pool.Known) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- /dev/null
+++ b/standin/faulter/proxy.go
@@ -0,0 +1,208 @@
+package faulter
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+const copyBufferBytes = 32 << 10
+
+// Mode is what a proxy does to the connections through it.
+type Mode int
+
+// The modes of a proxy.
+const (
+	// Pass forwards both ways.
+	Pass Mode = iota
+	// Cutoff closes every connection and refuses new ones.
+	Cutoff
+	// Freeze keeps connections open and forwards nothing.
+	Freeze
+	// DropRequests forwards only from the target to the client.
+	DropRequests
+	// DropAnswers forwards only from the client to the target.
+	DropAnswers
+	// HalfOpen closes the connections to the target and keeps those to the clients.
+	HalfOpen
+)
+
+// Proxy forwards TCP connections to a target and shows faults while they are set.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	mode     Mode
+	delay    time.Duration
+	changed  chan struct{}
+	open     map[net.Conn]bool
+	toTarget map[net.Conn]bool
+	closed   bool
+	answered int64
+	cutAfter int64
+}
+
+// NewProxy returns a proxy that listens on the address and forwards to the target.
+func NewProxy(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	proxy := &Proxy{
+		listener: listener,
+		target:   target,
+		changed:  make(chan struct{}),
+		open:     map[net.Conn]bool{},
+		toTarget: map[net.Conn]bool{},
+	}
+	go proxy.accept()
+	return proxy, nil
+}
+
+// Address returns the address that the proxy listens on.
+func (proxy *Proxy) Address() string { return proxy.listener.Addr().String() }
+
+// SetMode changes what the proxy does from now on, to open connections too.
+func (proxy *Proxy) SetMode(mode Mode) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.mode = mode
+	close(proxy.changed)
+	proxy.changed = make(chan struct{})
+	for connection := range proxy.open {
+		if mode == Cutoff || (mode == HalfOpen && proxy.toTarget[connection]) {
+			_ = connection.Close()
+		}
+	}
+}
+
+// SetDelay delays every piece that is forwarded.
+func (proxy *Proxy) SetDelay(delay time.Duration) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.delay = delay
+}
+
+// CutAfter closes the connections once the given number of bytes more has been answered.
+func (proxy *Proxy) CutAfter(bytes int64) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.cutAfter = proxy.answered + bytes
+}
+
+// Close ends the proxy.
+func (proxy *Proxy) Close() {
+	_ = proxy.listener.Close()
+	proxy.mutex.Lock()
+	proxy.closed = true
+	proxy.mutex.Unlock()
+	proxy.SetMode(Cutoff)
+}
+
+func (proxy *Proxy) accept() {
+	for {
+		client, err := proxy.listener.Accept()
+		if err != nil {
+			return
+		}
+		go proxy.serve(client)
+	}
+}
+
+func (proxy *Proxy) track(connection net.Conn, target bool) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	if proxy.closed || proxy.mode == Cutoff {
+		_ = connection.Close()
+		return false
+	}
+	proxy.open[connection] = true
+	proxy.toTarget[connection] = target
+	return true
+}
+
+func (proxy *Proxy) forget(connection net.Conn) {
+	_ = connection.Close()
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	delete(proxy.open, connection)
+	delete(proxy.toTarget, connection)
+}
+
+func (proxy *Proxy) serve(client net.Conn) {
+	if !proxy.track(client, false) {
+		return
+	}
+	defer proxy.forget(client)
+	target, err := net.Dial("tcp", proxy.target)
+	if err != nil || !proxy.track(target, true) {
+		return
+	}
+	defer proxy.forget(target)
+	done := make(chan struct{})
+	go func() {
+		proxy.pump(target, client, DropRequests, false)
+		close(done)
+	}()
+	proxy.pump(client, target, DropAnswers, true)
+	<-done
+}
+
+func (proxy *Proxy) pump(to, from net.Conn, drop Mode, answer bool) {
+	defer func() {
+		if proxy.currentMode() != HalfOpen {
+			_ = to.Close()
+			_ = from.Close()
+		}
+	}()
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && proxy.await(drop) {
+			if answer && proxy.countAnswer(int64(n)) {
+				return
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (proxy *Proxy) currentMode() Mode {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.mode
+}
+
+// await waits while the proxy is frozen and returns whether the piece is forwarded.
+func (proxy *Proxy) await(drop Mode) bool {
+	for {
+		proxy.mutex.Lock()
+		mode, delay, changed := proxy.mode, proxy.delay, proxy.changed
+		proxy.mutex.Unlock()
+		switch mode {
+		case Freeze:
+			<-changed
+			continue
+		case drop, Cutoff:
+			return false
+		}
+		time.Sleep(delay)
+		return true
+	}
+}
+
+func (proxy *Proxy) countAnswer(bytes int64) (cut bool) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.answered += bytes
+	if proxy.cutAfter > 0 && proxy.answered >= proxy.cutAfter {
+		proxy.cutAfter = 0
+		return true
+	}
+	return false
+}
