Finish a change forward when an order's outcome is unknown

Cause: a rank whose switch order was answered too late was sent back to the earlier map together with the others; engines that ignore fencing numbers then carried the late order out after the release and before the step was entered.

Ruled out: waiting a settle time before the release (a longer delay brings the fault back); an expiry inside the engine (not every engine checks its orders).

Change: when any outcome is unknown, every rank is brought to the new version, to which the late order leads too; a change is undone only when every outcome is known. A driver that takes over goes to the newest version that all ranks have prepared, for the same reason, and releases a hold that arrived late.

Conclusion: the step number fences late orders at engines that ignore fencing numbers, provided a change never leaves two versions in flight for one step.

--- a/standin/engineserver/handler.go
+++ b/standin/engineserver/handler.go
@@ -219,7 +219,7 @@
 		listener.WriteError(writer, "", err)
 		return
 	}
-	if err := rank.carryOut(request.Context(), order); err != nil {
+	if err := rank.CarryOut(request.Context(), order); err != nil {
 		listener.WriteError(writer, "", err)
 		return
 	}
@@ -228,11 +228,9 @@
 
 func (rank *Rank) handleMap(writer http.ResponseWriter, request *http.Request) {
 	version, _ := strconv.ParseUint(mux.Vars(request)["version"], 10, 64)
-	rank.group.mutex.Lock()
-	expertMap, ok := rank.maps[version]
-	rank.group.mutex.Unlock()
-	if !ok {
-		listener.WriteError(writer, "", cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNotFound, "no such expert map version"))
+	expertMap, err := rank.Map(version)
+	if err != nil {
+		listener.WriteError(writer, "", err)
 		return
 	}
 	listener.WriteJSON(writer, http.StatusOK, expertMap)
--- a/standin/engineserver/rank.go
+++ b/standin/engineserver/rank.go
@@ -263,7 +263,8 @@
 	}
 }
 
-func (rank *Rank) carryOut(ctx context.Context, order cranberryward.Order) error {
+// CarryOut carries out an order, as the HTTP interface does.
+func (rank *Rank) CarryOut(ctx context.Context, order cranberryward.Order) error {
 	rank.group.mutex.Lock()
 	defer rank.group.mutex.Unlock()
 	if rank.faults.RefuseOrders {
@@ -282,6 +283,17 @@
 	return nil
 }
 
+// Map returns the expert map that the rank holds under a version.
+func (rank *Rank) Map(version uint64) (cranberryward.ExpertMap, error) {
+	rank.group.mutex.Lock()
+	defer rank.group.mutex.Unlock()
+	expertMap, ok := rank.maps[version]
+	if !ok {
+		return expertMap, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNotFound, "no such expert map version")
+	}
+	return expertMap, nil
+}
+
 func refusal(reason cranberryward.Reason, message string) error {
 	return cranberryward.NewFailure(cranberryward.NotRun, reason, message).WithResend(false)
 }
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// switched says what is known of the ranks after the order to switch.
+type switched int
+
+const (
+	// switchedAll means that every rank confirmed.
+	switchedAll switched = iota
+	// switchedNot means that a rank refused and that every other outcome is known.
+	switchedNot
+	// switchedUnknown means that a rank may still carry the order out.
+	switchedUnknown
+)
+
 type attempt struct {
 	switcher *Switcher
 	ports    []Port
@@ -185,10 +197,16 @@
 		return attempt.outcome(), refuse(cranberryward.ReasonUnreachable, "the group could not be held at a step boundary")
 	}
 	attempt.fire(eventHeld)
-	if attempt.switchAll(ctx, attempt.change.ToVersion) && attempt.allOn(ctx, attempt.change.ToVersion) {
+	switch attempt.switchAll(ctx) {
+	case switchedAll:
 		attempt.release(ctx)
 		attempt.fire(eventSwitched)
 		return attempt.outcome(), nil
+	case switchedUnknown:
+		// An order whose answer was lost may be carried out late, which only the same version makes harmless.
+		attempt.restore(ctx, attempt.change.ToVersion)
+		attempt.fire(eventSwitched)
+		return attempt.outcome(), nil
 	}
 	attempt.fire(eventRollBack)
 	attempt.restore(ctx, attempt.change.FromVersion)
@@ -233,31 +251,29 @@
 	return false
 }
 
-// switchAll orders every rank to run a version from the held step on and returns whether all of them confirmed.
-func (attempt *attempt) switchAll(ctx context.Context, version uint64) bool {
-	order := attempt.order(cranberryward.OrderSwitch, version, attempt.next())
-	var group errgroup.Group
-	for _, port := range attempt.ports {
-		group.Go(func() error {
+// switchAll orders every rank to run the new version from the held step on.
+func (attempt *attempt) switchAll(ctx context.Context) switched {
+	order := attempt.order(cranberryward.OrderSwitch, attempt.change.ToVersion, attempt.next())
+	outcomes := make([]error, len(attempt.ports))
+	var group sync.WaitGroup
+	for i, port := range attempt.ports {
+		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			return port.Order(ctx, order)
+			outcomes[i] = port.Order(ctx, order)
 		})
 	}
-	return group.Wait() == nil
-}
-
-func (attempt *attempt) allOn(ctx context.Context, version uint64) bool {
-	states, err := States(ctx, attempt.ports)
-	if err != nil {
-		return false
-	}
-	for i, state := range states {
-		if state.MapVersion != version || state.Incarnation != attempt.before[i].Incarnation {
-			return false
+	group.Wait()
+	result := switchedAll
+	for _, err := range outcomes {
+		switch cranberryward.VerdictOf(err) {
+		case cranberryward.MayHaveRun:
+			return switchedUnknown
+		case cranberryward.NotRun:
+			result = switchedNot
 		}
 	}
-	return true
+	return result
 }
 
 // release ends the hold that the gate has, whichever of the hold orders took effect.
@@ -319,7 +335,7 @@
 	return group.Wait() == nil
 }
 
-// Resolve releases a group that an earlier driver left held, on the version that every rank has prepared.
+// Resolve releases a group that an earlier driver left held, on the newest version that every rank has prepared, to which any late order of that driver leads too.
 func (switcher *Switcher) Resolve(ctx context.Context) (resolved bool, err error) {
 	switcher.mutex.Lock()
 	defer switcher.mutex.Unlock()
@@ -340,7 +356,7 @@
 		ports:    ports,
 		change: Change{
 			Group:       switcher.group,
-			FromVersion: lowest(states),
+			FromVersion: newestShared(states),
 		},
 		machine: chart.Start(),
 		step:    gate.HeldStep,
@@ -356,12 +372,24 @@
 	return true, nil
 }
 
-func lowest(states []cranberryward.RankState) uint64 {
-	version := uint64(0)
+// newestShared returns the newest version that every rank which runs any has prepared.
+func newestShared(states []cranberryward.RankState) uint64 {
+	newest := uint64(0)
+	for _, candidate := range states {
+		for _, version := range candidate.Prepared {
+			if version > newest && preparedByAll(states, version) {
+				newest = version
+			}
+		}
+	}
+	return newest
+}
+
+func preparedByAll(states []cranberryward.RankState, version uint64) bool {
 	for _, state := range states {
-		if state.MapVersion != 0 && (version == 0 || state.MapVersion < version) {
-			version = state.MapVersion
+		if state.MapVersion != 0 && !state.HasPrepared(version) {
+			return false
 		}
 	}
-	return version
+	return true
 }
