Prove bookings at most once and charge crashes to the right requests

Cause: tests with real processes and a new case in the decision test showed four faults. (1) A key home that lost its place in the instance list could admit keys until its authority lapsed, and the next home did not doubt keys made in that time: a second run was possible. (2) Keys made after a home's restart but before the table named its new life were refused for good. (3) Every request sent to a backend server that was already down was charged with its crash, and suspects beside each other were refused. (4) The first agent that started took all shards.

Change: doubt reaches to the end of the earlier home's authority, or to the start of the new life of the same instance; agents refuse as not run while their backend server is down; suspects wait for their turn and are cleared when they end well; shards beyond a fair share are handed over with their memory.

--- a/agent/homekeeper/keeper.go
+++ b/agent/homekeeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +40,7 @@
 	authority deduplicator.Authority
 	revision  uint64
 	listed    []cranberryward.Instance
-	stopping  bool
+	shedding  [deduplicator.ShardCount]bool
 }
 
 // New returns a keeper that knows no table yet.
@@ -66,8 +67,8 @@
 func (keeper *Keeper) MayAdmit(shard int) error {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	if keeper.stopping {
-		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonStopping, "the home of the key is stopping")
+	if keeper.shedding[shard] {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonHomeUnconfirmed, "the key is moving to another home").WithRetryAfter(time.Second)
 	}
 	return keeper.authority.MayAdmit(shard, time.Now())
 }
@@ -156,11 +157,8 @@
 	if own, ok := membership.Find(keeper.settings.Instance.ID); ok && own.Incarnation == keeper.settings.Instance.Incarnation {
 		keeper.authority.Extend(sent.Add(-keeper.settings.ListLag))
 	}
-	stopping := keeper.stopping
 	keeper.mutex.Unlock()
-	if !stopping {
-		keeper.assign(ctx, membership)
-	}
+	keeper.assign(ctx, membership)
 }
 
 // assign gives shards whose home is no longer listed to instances that are.
@@ -216,23 +214,37 @@
 	return best, found
 }
 
-// Close stops admitting keys at once.
-func (keeper *Keeper) Close() {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	keeper.stopping = true
+// Shed stops admitting keys of the shards and returns a function that admits them again.
+func (keeper *Keeper) Shed(shards []int) (restore func()) {
+	set := func(shedding bool) {
+		keeper.mutex.Lock()
+		defer keeper.mutex.Unlock()
+		for _, shard := range shards {
+			keeper.shedding[shard] = shedding
+		}
+	}
+	set(true)
+	return func() { set(false) }
 }
 
-// OwnsAny returns whether this instance is the home of any shard.
-func (keeper *Keeper) OwnsAny() bool {
+// Own returns the shards whose home this instance is.
+func (keeper *Keeper) Own() []int {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
+	var own []int
 	for shard := range deduplicator.ShardCount {
 		if keeper.authority.Owns(shard) {
-			return true
+			own = append(own, shard)
 		}
 	}
-	return false
+	return own
+}
+
+// Excess returns the shards that this instance holds beyond its fair share.
+func (keeper *Keeper) Excess() []int {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return deduplicator.Excess(keeper.authority.Table(), keeper.settings.Instance.ID, keeper.listed)
 }
 
 func (keeper *Keeper) waited(shard int) bool {
@@ -241,15 +253,15 @@
 	return keeper.authority.Waited(shard, time.Now())
 }
 
-// HandOver makes the successor, which has taken over the memory, the home of this instance's shards.
-func (keeper *Keeper) HandOver(ctx context.Context, successor cranberryward.Instance) error {
+// HandOver makes the successor, which has taken over their memory, the home of the shards.
+func (keeper *Keeper) HandOver(ctx context.Context, successor cranberryward.Instance, shards []int) error {
 	ctx, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
 	for {
 		keeper.mutex.Lock()
 		table, revision := keeper.authority.Table(), keeper.revision
 		keeper.mutex.Unlock()
-		next, changed := deduplicator.HandOver(table, keeper.settings.Instance.ID, successor, keeper.waited)
+		next, changed := deduplicator.HandOver(table, keeper.settings.Instance.ID, successor, within(shards), keeper.waited)
 		if !changed {
 			return nil
 		}
@@ -261,3 +273,7 @@
 		_ = keeper.follow(ctx)
 	}
 }
+
+func within(shards []int) func(shard int) bool {
+	return func(shard int) bool { return slices.Contains(shards, shard) }
+}
--- a/agent/server/admission.go
+++ b/agent/server/admission.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	crashCheckTimeout = time.Second
-	engineWatchPeriod = 250 * time.Millisecond
+	downRetryAfter    = 200 * time.Millisecond
 	suspectRetryAfter = 200 * time.Millisecond
 )
 
@@ -23,11 +22,12 @@
 
 // admission is one request that the backend server may run now.
 type admission struct {
-	agent   *agent
-	request admissionRequest
-	pass    *limiter.Pass
-	life    uint64
-	engine  string
+	agent       *agent
+	request     admissionRequest
+	pass        *limiter.Pass
+	life        uint64
+	backendLife string
+	succeeded   bool
 }
 
 // admit waits for a request's turn and refuses it as not run while the backend server takes no new work.
@@ -37,6 +37,9 @@
 		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonQuarantined,
 			"the request has crashed backend servers and is quarantined").WithResend(false)
 	}
+	if agent.health.isDown() {
+		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "the backend server is down").WithRetryAfter(downRetryAfter)
+	}
 	refusing, err := agent.drain.enter()
 	if err != nil {
 		return nil, err
@@ -50,7 +53,7 @@
 		return nil, err
 	}
 	agent.prefill.Add(int64(request.prompt))
-	admitted.engine = agent.engineLife()
+	admitted.backendLife = agent.health.currentLife()
 	return admitted, nil
 }
 
@@ -72,11 +75,11 @@
 		}
 		return err
 	}
-	life, ok := agent.suspects.Enter(admission.request.fingerprint, suspect)
-	if !ok {
+	life, err := agent.suspects.Enter(waiting, admission.request.fingerprint, suspect)
+	if err != nil {
 		pass.Leave()
 		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonOverloaded,
-			"another request that was in flight at a crash is being tried here").WithRetryAfter(suspectRetryAfter)
+			"other requests that were in flight at a crash are being tried here").WithCause(err).WithRetryAfter(suspectRetryAfter)
 	}
 	admission.pass = pass
 	admission.life = life
@@ -91,12 +94,15 @@
 
 func (admission *admission) leave() {
 	agent := admission.agent
-	agent.suspects.Leave(admission.request.fingerprint, admission.life)
+	agent.suspects.Leave(admission.request.fingerprint, admission.life, admission.succeeded)
 	admission.pass.Leave()
 	agent.drain.leave()
 	agent.prefill.Add(-int64(admission.request.prompt))
 }
 
+// succeed records that the backend server answered the whole request.
+func (admission *admission) succeed() { admission.succeeded = true }
+
 // failed tells a crash of the backend server from other failures and names the request when the crash is charged to it.
 func (admission *admission) failed(ctx context.Context, err error) error {
 	failure := cranberryward.FailureOf(err)
@@ -104,7 +110,7 @@
 		admission.pass.Refused()
 		return err
 	}
-	if ctx.Err() != nil || !admission.agent.crashed(ctx, admission.engine) {
+	if ctx.Err() != nil || !admission.agent.crashed(ctx, admission.backendLife) {
 		return err
 	}
 	charged := admission.agent.suspects.Crashed(admission.request.fingerprint, admission.life)
@@ -115,36 +121,3 @@
 	}
 	return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonCrashed, "the backend server crashed while it ran the request").WithCause(err)
 }
-
-// engineLife returns the incarnation of the engine as of its last report.
-func (agent *agent) engineLife() string {
-	life, _ := agent.incarnation.Load().(string)
-	return life
-}
-
-// watchEngine keeps the incarnation of the engine up to date.
-func (agent *agent) watchEngine(ctx context.Context) {
-	for ctx.Err() == nil {
-		attempt, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-		if state, err := agent.engine.RankState(attempt); err == nil {
-			agent.incarnation.Store(state.Incarnation)
-		}
-		cancel()
-		pause(ctx, engineWatchPeriod)
-	}
-}
-
-// crashed returns whether the backend server no longer answers or has restarted since a request began.
-func (agent *agent) crashed(ctx context.Context, life string) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
-	defer cancel()
-	if agent.engine == nil {
-		return agent.service.Alive(ctx) != nil
-	}
-	state, err := agent.engine.RankState(ctx)
-	if err != nil {
-		return true
-	}
-	agent.incarnation.Store(state.Incarnation)
-	return life != "" && state.Incarnation != life
-}
--- a/agent/server/drain.go
+++ b/agent/server/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	leavingPoll      = 250 * time.Millisecond
 	handOverTimeout  = 2 * time.Second
 	deregisterWithin = time.Second
+	balancePeriod    = 2 * time.Second
+	settlePoll       = 10 * time.Millisecond
 )
 
 var drainChart = charter.MustLoad("drain", eventLeave, eventReturn, eventStop, eventEmpty, eventTimeLimit)
@@ -133,12 +136,9 @@
 }
 
 func (agent *agent) stop(ctx context.Context) {
-	if agent.keeper != nil {
-		agent.keeper.Close()
-	}
 	agent.drain.stop(ctx)
 	if agent.keeper != nil {
-		agent.handOver()
+		agent.handOver(ctx, agent.keeper.Own())
 	}
 	deregister, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterWithin)
 	defer cancel()
@@ -148,20 +148,47 @@
 	_ = agent.logger.Log("event", "stopped")
 }
 
-// handOver gives the memory of keys to the successor before it becomes their home.
-func (agent *agent) handOver() {
+// balanceHomes gives shards beyond the fair share to the instance that has the fewest.
+func (agent *agent) balanceHomes(ctx context.Context) {
+	for ctx.Err() == nil {
+		if excess := agent.keeper.Excess(); len(excess) > 0 && !agent.drain.isDraining() {
+			agent.handOver(ctx, excess)
+		}
+		pause(ctx, balancePeriod)
+	}
+}
+
+// handOver gives the memory of shards to the successor before it becomes their home.
+func (agent *agent) handOver(ctx context.Context, shards []int) {
 	successor, found := agent.keeper.Successor()
-	if !found || !agent.keeper.OwnsAny() {
+	if !found || len(shards) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer agent.keeper.Shed(shards)()
+	moved := func(shard int) bool { return slices.Contains(shards, shard) }
+	if !agent.awaitSettled(ctx, moved) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
 	defer cancel()
 	var reply messenger.AdoptReply
 	err := agent.client.Call(ctx, successor.PeerAddress, "Agent.Adopt", messenger.AdoptRequest{
-		Entries: agent.memory.Export(func(int) bool { return true }),
+		Entries: agent.memory.Export(moved),
 	}, &reply)
 	if err == nil {
-		err = agent.keeper.HandOver(ctx, successor)
+		err = agent.keeper.HandOver(ctx, successor, shards)
+	}
+	_ = agent.logger.Log("event", "keys_handed_over", "to", successor.ID, "shards", len(shards), "error", err)
+}
+
+// awaitSettled waits until no request of the shards is running.
+func (agent *agent) awaitSettled(ctx context.Context, shards func(shard int) bool) bool {
+	deadline := time.Now().Add(handOverTimeout)
+	for agent.memory.Open(shards) > 0 {
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return false
+		}
+		pause(ctx, settlePoll)
 	}
-	_ = agent.logger.Log("event", "keys_handed_over", "to", successor.ID, "keys", agent.memory.Len(), "error", err)
+	return true
 }
--- a/agent/server/http.go
+++ b/agent/server/http.go
@@ -107,6 +107,7 @@
 		return send(frame)
 	})
 	if err == nil {
+		admission.succeed()
 		return nil
 	}
 	return admission.failed(ctx, err)
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -38,29 +38,29 @@
 }
 
 type agent struct {
-	settings    Settings
-	instance    cranberryward.Instance
-	logger      log.Logger
-	engine      cranberryward.Engine
-	service     cranberryward.Service
-	store       cranberryward.KeyValueStore
-	list        cranberryward.InstanceList
-	holder      *distributor.Holder
-	follower    *distributor.Follower
-	client      *caller.Client
-	gate        *limiter.Gate
-	suspects    *quarantiner.Suspects
-	guard       *guard.Guard
-	switcher    *switcher.Switcher
-	memory      *deduplicator.Memory
-	keeper      *homekeeper.Keeper
-	claims      claims
-	drain       *drain
-	prefill     atomic.Int64
-	requests    *listener.Server
-	peers       *caller.Server
-	background  context.Context
-	incarnation atomic.Value
+	settings   Settings
+	instance   cranberryward.Instance
+	logger     log.Logger
+	engine     cranberryward.Engine
+	service    cranberryward.Service
+	store      cranberryward.KeyValueStore
+	list       cranberryward.InstanceList
+	holder     *distributor.Holder
+	follower   *distributor.Follower
+	client     *caller.Client
+	gate       *limiter.Gate
+	suspects   *quarantiner.Suspects
+	guard      *guard.Guard
+	switcher   *switcher.Switcher
+	memory     *deduplicator.Memory
+	keeper     *homekeeper.Keeper
+	claims     claims
+	drain      *drain
+	prefill    atomic.Int64
+	requests   *listener.Server
+	peers      *caller.Server
+	background context.Context
+	health     health
 }
 
 // New returns an agent that Start brings up.
@@ -189,10 +189,9 @@
 	go agent.watchLeaving(agent.background)
 	if agent.keeper != nil {
 		go agent.keeper.Run(agent.background)
+		go agent.balanceHomes(agent.background)
 	}
-	if agent.engine != nil {
-		go agent.watchEngine(agent.background)
-	}
+	go agent.watchHealth(agent.background)
 	if agent.switcher != nil && agent.instance.Rank == 0 {
 		go agent.maintain(agent.background)
 	}
--- a/agent/server/service.go
+++ b/agent/server/service.go
@@ -127,5 +127,6 @@
 		return nothing, admission.failed(ctx, err)
 	}
 	admission.pass.FirstAnswer()
+	admission.succeed()
 	return answer, nil
 }
--- /dev/null
+++ b/cranberryward/prover/answers_test.go
@@ -0,0 +1,172 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/standin/engineserver"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+)
+
+// startStreams starts streams through every entry and returns a function that waits for their answers.
+func (fleet *fleet) startStreams(count, tokens int, header map[string]string) func() []answer {
+	answers := make([]answer, count)
+	var group sync.WaitGroup
+	for i := range count {
+		entry := fleet.entries[i%len(fleet.entries)]
+		group.Go(func() {
+			answers[i] = fleet.stream(context.Background(), entry, fmt.Sprintf("caller %d of a call", i), tokens, header)
+		})
+	}
+	return func() []answer {
+		group.Wait()
+		return answers
+	}
+}
+
+// awaitRunning waits until the engines have begun a number of requests beyond those known before.
+func (fleet *fleet) awaitRunning(before, count int) {
+	fleet.t.Helper()
+	await(fleet.t, fmt.Sprintf("%d requests run", count), func() bool { return len(fleet.generated())-before >= count })
+}
+
+func TestAnswersAreWholeOrHonestlyFailed(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          2,
+		entriesPerZone: 1,
+		ranksPerZone:   2,
+	})
+	const streams, tokens = 16, 300
+	cases := []struct {
+		name      string
+		fault     func()
+		heal      func()
+		healFirst bool
+		allWhole  bool
+	}{
+		{name: "late chunks", fault: func() {
+			for _, engine := range fleet.engines {
+				engine.requests.SetDelay(20 * time.Millisecond)
+				engine.engine.SetDelay(5 * time.Millisecond)
+			}
+		}, heal: func() {
+			for _, engine := range fleet.engines {
+				engine.requests.SetDelay(0)
+				engine.engine.SetDelay(0)
+			}
+		}, allWhole: true},
+		{name: "connections to agents cut in the middle", fault: func() {
+			for _, engine := range fleet.engines {
+				engine.requests.CutAfter(2000)
+			}
+		}, heal: func() {}, allWhole: true},
+		{name: "connections to engines cut in the middle", fault: func() {
+			for _, engine := range fleet.engines {
+				engine.engine.CutAfter(2000)
+			}
+		}, heal: func() {}, allWhole: true},
+		{name: "answers frozen for a while", fault: func() {
+			for _, engine := range fleet.engines {
+				engine.requests.SetMode(faulter.Freeze)
+			}
+			pause(300 * time.Millisecond)
+		}, heal: func() {
+			for _, engine := range fleet.engines {
+				engine.requests.SetMode(faulter.Pass)
+			}
+		}, healFirst: true, allWhole: true},
+		{name: "half-open connections", fault: func() { fleet.engines[0].requests.SetMode(faulter.HalfOpen) },
+			heal: func() {
+				fleet.engines[0].requests.SetMode(faulter.Cutoff)
+				fleet.engines[0].requests.SetMode(faulter.Pass)
+			}},
+		{name: "an engine rank killed", fault: func() { fleet.setFaults(fleet.engines[0].backend, engineserver.Faults{Dead: true}) },
+			heal: func() { fleet.setFaults(fleet.engines[0].backend, engineserver.Faults{}) }},
+		{name: "an agent killed", fault: fleet.engines[1].kill, heal: fleet.engines[1].start},
+		{name: "an entry killed", fault: fleet.entries[1].kill, heal: func() {
+			fleet.entries[1].start()
+			fleet.awaitEntry(fleet.entries[1])
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			before := len(fleet.generated())
+			wait := fleet.startStreams(streams, tokens, map[string]string{cranberryward.HeaderDeadline: "5s"})
+			fleet.awaitRunning(before, streams/2)
+			test.fault()
+			if test.healFirst {
+				test.heal()
+			} else {
+				defer test.heal()
+			}
+			answers := wait()
+			fleet.checkWhole(answers)
+			fleet.checkNotRun(answers)
+			whole := 0
+			for i, received := range answers {
+				if received.whole {
+					whole++
+					continue
+				}
+				if test.allWhole {
+					t.Errorf("stream %d: %d bytes, %+v %v", i, len(received.text), received.failure, received.err)
+				}
+			}
+			t.Logf("%d of %d answers whole", whole, streams)
+		})
+	}
+}
+
+func TestAnswerAfterItsRequestTimedOutReachesNobodyElse(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          1,
+		entriesPerZone: 1,
+		ranksPerZone:   1,
+	})
+	engine := fleet.engines[0]
+	engine.requests.SetMode(faulter.Freeze)
+	late := fleet.startStreams(8, 50, map[string]string{cranberryward.HeaderDeadline: "300ms"})()
+	engine.requests.SetMode(faulter.Pass)
+	for i, received := range late {
+		if received.whole {
+			t.Errorf("stream %d was whole through a frozen connection", i)
+		}
+	}
+	answers := fleet.startStreams(16, 50, nil)()
+	fleet.checkWhole(answers)
+	for i, received := range answers {
+		if !received.whole {
+			t.Errorf("stream %d after the freeze: %+v", i, received)
+		}
+	}
+}
+
+func TestCancellationReachesTheEngine(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          1,
+		entriesPerZone: 1,
+		ranksPerZone:   1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan answer)
+	go func() { done <- fleet.stream(ctx, fleet.entries[0], "a long story", 100000, nil) }()
+	fleet.awaitRunning(0, 1)
+	cancel()
+	<-done
+	await(t, "the engine stops the stream", func() bool {
+		for _, execution := range fleet.generated() {
+			length := len(execution.Text)
+			pause(20 * time.Millisecond)
+			return len(fleet.generated()[execution.RequestID].Text) == length
+		}
+		return false
+	})
+	if !strings.Contains(fleet.engines[0].log(), "event=canceled") {
+		t.Error("the agent passed no cancellation on")
+	}
+}
--- a/deduplicator/assign.go
+++ b/deduplicator/assign.go
@@ -31,10 +31,14 @@
 		if home.Instance == "" {
 			continue
 		}
-		table.Homes[shard].SinceMillis = now.UnixMilli()
-		if next.ID != home.Instance {
-			table.Homes[shard].WaitMillis = wait.Milliseconds()
+		if next.ID == home.Instance {
+			table.Homes[shard].SinceMillis = max(home.SinceMillis, startOf(next, now).UnixMilli())
+			table.Homes[shard].WaitMillis = home.WaitMillis
+			continue
 		}
+		// The earlier home may go on admitting keys until its authority has lapsed.
+		table.Homes[shard].SinceMillis = now.Add(wait).UnixMilli()
+		table.Homes[shard].WaitMillis = wait.Milliseconds()
 	}
 	if changed {
 		table.Epoch++
@@ -42,6 +46,14 @@
 	return table, changed
 }
 
+// startOf returns when this life of an instance began, by which the life before it had ended.
+func startOf(instance cranberryward.Instance, now time.Time) time.Time {
+	if started, ok := KeyTime(instance.Incarnation); ok && started.Before(now) {
+		return started
+	}
+	return now
+}
+
 func successor(home Home, live []cranberryward.Instance, absent func(instance string) bool, counts map[string]int) (cranberryward.Instance, bool) {
 	for _, instance := range live {
 		if instance.ID == home.Instance {
@@ -74,11 +86,34 @@
 	}
 }
 
-// HandOver returns the table after the shards of an instance went to another one that took over its memory.
-func HandOver(table Table, from string, to cranberryward.Instance, waited func(shard int) bool) (Table, bool) {
+// Excess returns the shards that an instance holds beyond its fair share among the listed ones.
+func Excess(table Table, instance string, listed []cranberryward.Instance) []int {
+	live := 0
+	for _, other := range listed {
+		if !other.Leaving {
+			live++
+		}
+	}
+	var own []int
+	for shard, home := range table.Homes {
+		if home.Instance == instance {
+			own = append(own, shard)
+		}
+	}
+	if live == 0 {
+		return nil
+	}
+	if fair := (ShardCount + live - 1) / live; len(own) > fair {
+		return own[fair:]
+	}
+	return nil
+}
+
+// HandOver returns the table after some shards of an instance went to another one that took over their memory.
+func HandOver(table Table, from string, to cranberryward.Instance, moved, waited func(shard int) bool) (Table, bool) {
 	changed := false
 	for shard, home := range table.Homes {
-		if home.Instance != from {
+		if home.Instance != from || !moved(shard) {
 			continue
 		}
 		next := homeOf(to)
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -141,3 +141,49 @@
 		t.Fatal("an open key may run again")
 	}
 }
+
+func TestKeyAdmittedByALapsingHomeIsDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, _ := Assign(Table{}, []cranberryward.Instance{instance("a", "1")}, nil, time.Now(), testLifetime)
+		earlier := NewAuthority("a", "1", testLifetime, testClockError)
+		earlier.Confirm(first, time.Now())
+		second, _ := Assign(first, []cranberryward.Instance{instance("b", "1")}, func(string) bool { return true }, time.Now(), testLifetime+testClockError)
+		later := NewAuthority("b", "1", testLifetime, testClockError)
+		later.Confirm(second, time.Now())
+		var admitted []string
+		for range 20 {
+			time.Sleep(time.Second)
+			later.Confirm(second, time.Now())
+			key := keyAt(time.Now())
+			if earlier.MayAdmit(ShardOf(key), time.Now()) == nil {
+				admitted = append(admitted, key)
+			}
+		}
+		if len(admitted) == 0 {
+			t.Fatal("the earlier home admitted nothing")
+		}
+		for _, key := range admitted {
+			if doubt := later.Doubt(key, time.Now(), defaultRetention); doubt != DoubtEarlier {
+				t.Fatalf("a key that the earlier home admitted is not doubted: %d", doubt)
+			}
+		}
+	})
+}
+
+func TestKeysMadeAfterARestartAreNotDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, _ := Assign(Table{}, []cranberryward.Instance{instance("a", keyAt(time.Now()))}, nil, time.Now(), testLifetime)
+		time.Sleep(time.Hour)
+		restarted := instance("a", keyAt(time.Now()))
+		time.Sleep(5 * time.Second)
+		table, _ = Assign(table, []cranberryward.Instance{restarted}, nil, time.Now(), testLifetime)
+		authority := NewAuthority("a", restarted.Incarnation, testLifetime, testClockError)
+		authority.Confirm(table, time.Now())
+		if doubt := authority.Doubt(keyAt(time.Now()), time.Now(), defaultRetention); doubt != DoubtNone {
+			t.Fatalf("doubt %d about a key made after the restart", doubt)
+		}
+		if doubt := authority.Doubt(keyAt(time.Now().Add(-5*time.Second)), time.Now(), defaultRetention); doubt != DoubtEarlier {
+			t.Fatalf("doubt %d about a key made before the restart", doubt)
+		}
+	})
+}
--- a/deduplicator/memory.go
+++ b/deduplicator/memory.go
@@ -167,6 +167,19 @@
 	return exported
 }
 
+// Open returns how many keys of the shards have a request that is still running.
+func (memory *Memory) Open(shards func(shard int) bool) int {
+	memory.mutex.Lock()
+	defer memory.mutex.Unlock()
+	open := 0
+	for key, entry := range memory.keys {
+		if !entry.resolved && !entry.failed && shards(ShardOf(key)) {
+			open++
+		}
+	}
+	return open
+}
+
 // Import remembers what an earlier home handed over.
 func (memory *Memory) Import(entries []Memorized) {
 	for _, entry := range entries {
--- a/quarantiner/suspects.go
+++ b/quarantiner/suspects.go
@@ -1,13 +1,17 @@
 package quarantiner
 
 import (
+	"context"
 	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-const maxRememberedCrashes = 8
+const (
+	maxRememberedCrashes = 8
+	maxCleared           = 4096
+)
 
 // Fingerprint returns the name under which equal requests of a workspace are recognized.
 func Fingerprint(parts ...string) string {
@@ -25,47 +29,78 @@
 	mutex    sync.Mutex
 	life     uint64
 	inFlight map[string]int
-	suspect  map[string]bool
+	suspect  string
+	freed    chan struct{}
+	cleared  map[string]bool
 	blamed   map[uint64]map[string]bool
 }
 
 func (suspects *Suspects) prepare() {
 	if suspects.inFlight == nil {
 		suspects.inFlight = map[string]int{}
-		suspects.suspect = map[string]bool{}
 	}
-	if suspects.blamed == nil {
+	if suspects.freed == nil {
+		suspects.freed = make(chan struct{})
 		suspects.blamed = map[uint64]map[string]bool{}
+		suspects.cleared = map[string]bool{}
 	}
 }
 
-// Enter records a request in flight in the present life of the backend server and refuses a suspect beside another one.
-func (suspects *Suspects) Enter(fingerprint string, suspect bool) (life uint64, ok bool) {
+// Enter records a request in flight in the present life of the backend server, and lets a suspect wait until no other one runs.
+func (suspects *Suspects) Enter(ctx context.Context, fingerprint string, suspect bool) (life uint64, err error) {
+	for {
+		freed, life, entered := suspects.tryEnter(fingerprint, suspect)
+		if entered {
+			return life, nil
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (suspects *Suspects) tryEnter(fingerprint string, suspect bool) (freed <-chan struct{}, life uint64, entered bool) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	suspects.prepare()
-	if suspect && len(suspects.suspect) > 0 {
-		return 0, false
+	if suspect && !suspects.cleared[fingerprint] {
+		if suspects.suspect != "" {
+			return suspects.freed, 0, false
+		}
+		suspects.suspect = fingerprint
 	}
 	suspects.inFlight[fingerprint]++
-	if suspect {
-		suspects.suspect[fingerprint] = true
-	}
-	return suspects.life, true
+	return nil, suspects.life, true
 }
 
-// Leave records that a request of the given life ended.
-func (suspects *Suspects) Leave(fingerprint string, life uint64) {
+// Leave records that a request of the given life ended, and clears a suspect that ended well.
+func (suspects *Suspects) Leave(fingerprint string, life uint64, well bool) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	suspects.prepare()
 	if life != suspects.life {
 		return
 	}
+	if suspects.suspect == fingerprint {
+		suspects.release(fingerprint, well)
+	}
 	suspects.inFlight[fingerprint]--
 	if suspects.inFlight[fingerprint] <= 0 {
 		delete(suspects.inFlight, fingerprint)
-		delete(suspects.suspect, fingerprint)
+	}
+}
+
+func (suspects *Suspects) release(fingerprint string, well bool) {
+	suspects.suspect = ""
+	close(suspects.freed)
+	suspects.freed = make(chan struct{})
+	if well {
+		if len(suspects.cleared) >= maxCleared {
+			suspects.cleared = map[string]bool{}
+		}
+		suspects.cleared[fingerprint] = true
 	}
 }
 
@@ -75,9 +110,11 @@
 	defer suspects.mutex.Unlock()
 	suspects.prepare()
 	if life == suspects.life {
-		blamed := suspects.suspect
-		if len(blamed) == 0 {
-			blamed = map[string]bool{}
+		blamed := map[string]bool{}
+		if suspects.suspect != "" {
+			blamed[suspects.suspect] = true
+			suspects.release(suspects.suspect, false)
+		} else {
 			for name := range suspects.inFlight {
 				blamed[name] = true
 			}
