Hand key homes over without a refused booking in a rolling replacement

Three causes, each seen in the logs: the successor's place in the table carried its earlier life, read from the list before its restart; a list read before a hand-over made the new home look absent; an agent stopped within the second in which its only successor had registered, and found none.

Ruled out: longer waits between replacements (they hide the races); retrying the booking after "may have run" (never allowed).

Change: the successor names its own life when it takes the memory over; a home counts as absent only when it was missing for longer than the list lags, judged on the table as it was before the list was read; a list that lags never brings an earlier life back; a stopping agent reads the list until it names a successor, and refuses requests for a while before it closes its listener.

--- a/agent/homekeeper/keeper.go
+++ b/agent/homekeeper/keeper.go
@@ -40,6 +40,7 @@
 	authority deduplicator.Authority
 	revision  uint64
 	listed    []cranberryward.Instance
+	missing   map[string]time.Time
 	shedding  [deduplicator.ShardCount]bool
 }
 
@@ -148,27 +149,43 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := time.Now()
+	keeper.mutex.Lock()
+	table, revision := keeper.authority.Table(), keeper.revision
+	keeper.mutex.Unlock()
 	membership, err := keeper.list.ListService(ctx, keeper.settings.Instance.Service)
 	if err != nil {
 		return
 	}
+	keeper.noteAbsent(table, membership, sent)
 	keeper.mutex.Lock()
 	keeper.listed = membership.Instances
 	if own, ok := membership.Find(keeper.settings.Instance.ID); ok && own.Incarnation == keeper.settings.Instance.Incarnation {
 		keeper.authority.Extend(sent.Add(-keeper.settings.ListLag))
 	}
 	keeper.mutex.Unlock()
-	keeper.assign(ctx, membership)
+	keeper.assign(ctx, table, revision, membership)
 }
 
-// assign gives shards whose home is no longer listed to instances that are.
-func (keeper *Keeper) assign(ctx context.Context, membership cranberryward.Membership) {
-	keeper.mutex.Lock()
-	table, revision := keeper.authority.Table(), keeper.revision
-	keeper.mutex.Unlock()
+// noteAbsent keeps since when each home of the table has been missing from the list.
+func (keeper *Keeper) noteAbsent(table deduplicator.Table, membership cranberryward.Membership, now time.Time) {
+	missing := map[string]time.Time{}
+	for _, home := range table.Homes {
+		if _, listed := membership.Find(home.Instance); listed || home.Instance == keeper.settings.Instance.ID {
+			continue
+		}
+		missing[home.Instance] = now
+		if since, known := keeper.missing[home.Instance]; known {
+			missing[home.Instance] = since
+		}
+	}
+	keeper.missing = missing
+}
+
+// assign gives shards whose home is no longer listed, for longer than the list lags, to instances that are.
+func (keeper *Keeper) assign(ctx context.Context, table deduplicator.Table, revision uint64, membership cranberryward.Membership) {
 	absent := func(id string) bool {
-		_, listed := membership.Find(id)
-		return !listed
+		since, missing := keeper.missing[id]
+		return missing && time.Since(since) >= keeper.settings.ListLag
 	}
 	next, changed := deduplicator.Assign(table, membership.Instances, absent, time.Now(), keeper.settings.Lifetime+keeper.settings.ClockError)
 	if !changed {
@@ -193,8 +210,22 @@
 	return keeper.take(record, sent)
 }
 
-// Successor returns the listed instance that takes over this instance's shards, and false when there is none.
-func (keeper *Keeper) Successor() (cranberryward.Instance, bool) {
+// AwaitSuccessor reads the list until it names an instance that can take over this instance's shards, or the context ends.
+func (keeper *Keeper) AwaitSuccessor(ctx context.Context) (cranberryward.Instance, bool) {
+	for {
+		if membership, err := keeper.list.ListService(ctx, keeper.settings.Instance.Service); err == nil {
+			keeper.mutex.Lock()
+			keeper.listed = membership.Instances
+			keeper.mutex.Unlock()
+		}
+		if successor, found := keeper.successor(); found || ctx.Err() != nil {
+			return successor, found
+		}
+		pause(ctx, retryDelay)
+	}
+}
+
+func (keeper *Keeper) successor() (cranberryward.Instance, bool) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	counts := map[string]int{}
--- a/agent/server/drain.go
+++ b/agent/server/drain.go
@@ -143,6 +143,7 @@
 	deregister, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterWithin)
 	defer cancel()
 	_ = agent.list.Deregister(deregister, agent.instance.ID)
+	pause(ctx, agent.settings.StopGrace)
 	_ = agent.requests.Stop(ctx)
 	agent.peers.Stop()
 	_ = agent.logger.Log("event", "stopped")
@@ -160,8 +161,14 @@
 
 // handOver gives the memory of shards to the successor before it becomes their home.
 func (agent *agent) handOver(ctx context.Context, shards []int) {
-	successor, found := agent.keeper.Successor()
-	if !found || len(shards) == 0 {
+	if len(shards) == 0 {
+		return
+	}
+	searching, done := context.WithTimeout(ctx, handOverTimeout)
+	defer done()
+	successor, found := agent.keeper.AwaitSuccessor(searching)
+	if !found {
+		_ = agent.logger.Log("event", "no_key_successor", "shards", len(shards))
 		return
 	}
 	defer agent.keeper.Shed(shards)()
@@ -176,7 +183,7 @@
 		Entries: agent.memory.Export(moved),
 	}, &reply)
 	if err == nil {
-		err = agent.keeper.HandOver(ctx, successor, shards)
+		err = agent.keeper.HandOver(ctx, reply.Instance, shards)
 	}
 	_ = agent.logger.Log("event", "keys_handed_over", "to", successor.ID, "shards", len(shards), "error", err)
 }
--- a/agent/server/peer.go
+++ b/agent/server/peer.go
@@ -120,7 +120,8 @@
 }
 
 // Adopt takes over the memory of keys from a home that is stopping.
-func (peer *Peer) Adopt(request messenger.AdoptRequest, _ *messenger.AdoptReply) error {
+func (peer *Peer) Adopt(request messenger.AdoptRequest, reply *messenger.AdoptReply) error {
 	peer.agent.memory.Import(request.Entries)
+	reply.Instance = peer.agent.instance
 	return nil
 }
--- a/agent/server/settings.go
+++ b/agent/server/settings.go
@@ -38,6 +38,7 @@
 	KeyRetention  time.Duration `json:"key_retention"`
 	KeyCapacity   int           `json:"key_capacity"`
 	StopLimit     time.Duration `json:"stop_limit"`
+	StopGrace     time.Duration `json:"stop_grace"`
 	MaxCrashes    int           `json:"max_crashes"`
 	ServiceLimit  time.Duration `json:"service_limit"`
 }
@@ -81,6 +82,7 @@
 	agent.Duration(&settings.StopLimit, "stop-limit", 30*time.Second, 0, time.Hour, "Longest wait for requests in progress at a planned stop")
 	agent.Number(&settings.MaxCrashes, "max-crashes", 2, 1, 100, "crashes", "Crashes after which a request is quarantined")
 	agent.Duration(&settings.ServiceLimit, "service-limit", 30*time.Second, time.Millisecond, time.Hour, "Longest time for one call of a plain service")
+	agent.Duration(&settings.StopGrace, "stop-grace", 500*time.Millisecond, 0, time.Minute, "Time that a stopping agent goes on refusing requests before it closes its listener")
 	return agent
 }
 
--- a/cranberryward/deployer/deployment.go
+++ b/cranberryward/deployer/deployment.go
@@ -188,6 +188,7 @@
 	settings.KeyValue = deployment.keyValueAt
 	settings.InstanceList = deployment.listAt
 	settings.SharedKey = sharedKey
+	settings.StopGrace = 0
 	change(&settings)
 	if err := freeAddresses(&settings.Listen, &settings.PeerListen); err != nil {
 		return err
--- a/cranberryward/prover/fleet_test.go
+++ b/cranberryward/prover/fleet_test.go
@@ -75,7 +75,9 @@
 	process.t.Helper()
 	command := exec.Command(filepath.Join(binary, process.program), process.arguments...)
 	process.mutex.Lock()
-	process.output = &bytes.Buffer{}
+	if process.output == nil {
+		process.output = &bytes.Buffer{}
+	}
 	process.mutex.Unlock()
 	command.Stdout = process
 	command.Stderr = process
@@ -604,3 +606,12 @@
 	}
 	return last
 }
+
+func jsonBody(t *testing.T, value any) io.Reader {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.NewReader(data)
+}
--- a/deduplicator/assign.go
+++ b/deduplicator/assign.go
@@ -57,7 +57,8 @@
 func successor(home Home, live []cranberryward.Instance, absent func(instance string) bool, counts map[string]int) (cranberryward.Instance, bool) {
 	for _, instance := range live {
 		if instance.ID == home.Instance {
-			return instance, instance.Incarnation != home.Incarnation
+			// A list that lags behind may still name an earlier life than the table does.
+			return instance, instance.Incarnation > home.Incarnation
 		}
 	}
 	if home.Instance != "" && !absent(home.Instance) {
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -187,3 +187,10 @@
 		}
 	})
 }
+
+func TestLaggingListDoesNotBringAnEarlierLifeBack(t *testing.T) {
+	table, _ := Assign(Table{}, []cranberryward.Instance{instance("a", "2")}, nil, time.Now(), testLifetime)
+	if _, changed := Assign(table, []cranberryward.Instance{instance("a", "1")}, nil, time.Now(), testLifetime); changed {
+		t.Fatal("a list that lags behind changed the table")
+	}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -47,5 +47,7 @@
 	Entries []deduplicator.Memorized
 }
 
-// AdoptReply is empty.
-type AdoptReply struct{}
+// AdoptReply names the life of the instance that took the memory over.
+type AdoptReply struct {
+	Instance cranberryward.Instance
+}
