--- a/agent/server/ports.go
+++ b/agent/server/ports.go
@@ -6,6 +6,7 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/dialer"
 	"github.com/cranberryward/cranberryward/messenger"
 	"github.com/cranberryward/cranberryward/switcher"
 )
@@ -32,6 +33,9 @@
 	return ownPort.agent.engine.Map(ctx, version)
 }
 
+// Bypass returns no other port, because this agent is beside the rank.
+func (ownPort ownPort) Bypass() (switcher.Port, bool) { return nil, false }
+
 // Order carries out an order at the rank.
 func (ownPort ownPort) Order(ctx context.Context, order cranberryward.Order) error {
 	return ownPort.agent.guard.Order(ctx, switcher.Envelope{
@@ -40,6 +44,21 @@
 	})
 }
 
+// enginePort reaches a rank without its agent.
+type enginePort struct {
+	*dialer.Engine
+}
+
+var _ switcher.Port = enginePort{}
+
+// State returns the present state of the rank.
+func (enginePort enginePort) State(ctx context.Context) (cranberryward.RankState, error) {
+	return enginePort.RankState(ctx)
+}
+
+// Bypass returns no other port.
+func (enginePort enginePort) Bypass() (switcher.Port, bool) { return nil, false }
+
 // agentPort reaches a rank through the agent beside it.
 type agentPort struct {
 	client   *caller.Client
@@ -60,6 +79,11 @@
 	return expertMap, err
 }
 
+// Bypass returns a port straight to the engine, for when its agent is gone.
+func (agentPort agentPort) Bypass() (switcher.Port, bool) {
+	return enginePort{Engine: dialer.NewEngine(agentPort.instance.Backend)}, true
+}
+
 // Order carries out an order at the rank.
 func (agentPort agentPort) Order(ctx context.Context, order cranberryward.Order) error {
 	var reply messenger.OrderReply
--- /dev/null
+++ b/cranberryward/prover/configuration_test.go
@@ -0,0 +1,257 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/configurer"
+	"github.com/cranberryward/cranberryward/entry/server"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+	"github.com/cranberryward/cranberryward/standin/keyvalueserver"
+)
+
+const inForceBound = 5 * time.Second
+
+func priorityOf(configuration cranberryward.Configuration, workspace string) int {
+	return configurer.NewEffect(configuration, time.Now()).Priority(workspace)
+}
+
+func priorityCorrection(id, workspace string, priority int) cranberryward.Submission {
+	return cranberryward.Submission{
+		ID:   id,
+		Kind: cranberryward.SubmitCorrection,
+		Correction: &cranberryward.Correction{
+			ID:    id,
+			Kind:  cranberryward.CorrectPriority,
+			Name:  workspace,
+			Value: fmt.Sprint(priority),
+		},
+	}
+}
+
+func sheetSubmission(id string, base uint64, priority int) cranberryward.Submission {
+	return cranberryward.Submission{
+		ID:           id,
+		Kind:         cranberryward.SubmitSheet,
+		BaseRevision: base,
+		Sheet: &cranberryward.Sheet{
+			Priorities: []cranberryward.WorkspacePriority{{
+				Workspace: "tutors",
+				Priority:  priority,
+			}},
+		},
+	}
+}
+
+func (fleet *fleet) mustSubmit(entry *member, submission cranberryward.Submission) server.SubmissionStatus {
+	fleet.t.Helper()
+	status, err := fleet.administrator(entry).Submit(context.Background(), submission)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	return status
+}
+
+// awaitRevision waits until an entry holds a revision and fails the test when that takes longer than the bound.
+func (fleet *fleet) awaitRevision(entry *member, revision uint64) cranberryward.Configuration {
+	fleet.t.Helper()
+	var configuration cranberryward.Configuration
+	await(fleet.t, fmt.Sprintf("%s holds revision %d", entry.id, revision), func() bool {
+		var err error
+		configuration, err = fleet.administrator(entry).Configuration(context.Background())
+		return err == nil && configuration.Revision >= revision
+	})
+	return configuration
+}
+
+func TestRacingOperatorsLoseNothing(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          2,
+		entriesPerZone: 2,
+	})
+	for round := range 5 {
+		base := fleet.awaitRevision(fleet.entries[0], 0).Revision
+		var group sync.WaitGroup
+		accepted := make([]bool, len(fleet.entries))
+		for i, entry := range fleet.entries {
+			group.Go(func() {
+				_, err := fleet.administrator(entry).Submit(context.Background(), sheetSubmission(newKey(), base, i))
+				accepted[i] = err == nil
+				if err != nil && cranberryward.FailureOf(err).Reason() != cranberryward.ReasonConflict {
+					t.Errorf("round %d: %v", round, err)
+				}
+			})
+			group.Go(func() {
+				fleet.mustSubmit(entry, priorityCorrection(newKey(), fmt.Sprintf("workspace-%d-%d", round, i), i))
+			})
+		}
+		group.Wait()
+		wins := 0
+		for _, won := range accepted {
+			if won {
+				wins++
+			}
+		}
+		if wins != 1 {
+			t.Errorf("round %d: %d sheets from one base were accepted", round, wins)
+		}
+	}
+	last := fleet.awaitRevision(fleet.entries[0], 25)
+	for _, entry := range fleet.entries {
+		configuration := fleet.awaitRevision(entry, last.Revision)
+		for round := range 5 {
+			for i := range fleet.entries {
+				if got := priorityOf(configuration, fmt.Sprintf("workspace-%d-%d", round, i)); got != i {
+					t.Errorf("%s: the correction of round %d by operator %d is lost: priority %d", entry.id, round, i, got)
+				}
+			}
+		}
+	}
+}
+
+func TestLostAnswersAreSettledByTheSameID(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          2,
+		entriesPerZone: 1,
+	})
+	before := fleet.awaitRevision(fleet.entries[0], 0).Revision
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{LoseAnswers: 2, LosePrefix: "config/head"})
+	id := newKey()
+	first := fleet.mustSubmit(fleet.entries[0], priorityCorrection(id, "tutors", 8))
+	again := fleet.mustSubmit(fleet.entries[1], priorityCorrection(id, "tutors", 8))
+	if first.Revision != before+1 || again.Revision != first.Revision || !again.InForce {
+		t.Fatalf("revision %d, then %+v, then %+v", before, first, again)
+	}
+}
+
+func TestOutageIsToldHonestly(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          1,
+		entriesPerZone: 1,
+	})
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
+	id := newKey()
+	_, err := fleet.administrator(fleet.entries[0]).Submit(context.Background(), priorityCorrection(id, "tutors", 8))
+	if cranberryward.VerdictOf(err) != cranberryward.NotRun {
+		t.Fatalf("a submission that was never sent is told as %v", err)
+	}
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{})
+	status := fleet.mustSubmit(fleet.entries[0], priorityCorrection(id, "tutors", 8))
+	if !status.InForce {
+		t.Fatalf("%+v", status)
+	}
+}
+
+func TestAcceptedStaysInForce(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          3,
+		entriesPerZone: 2,
+	})
+	cut := func(zone string, mode faulter.Mode) {
+		for _, member := range fleet.members() {
+			if member.zone == zone {
+				member.cutPlatform(mode)
+				member.cutPeers(mode)
+			}
+		}
+	}
+	greatest := map[string]uint64{}
+	check := func(what string, revision uint64, priority int, entries ...*member) {
+		t.Helper()
+		for _, entry := range entries {
+			configuration := fleet.awaitRevision(entry, revision)
+			if got := priorityOf(configuration, "tutors"); got != priority {
+				t.Errorf("%s: %s holds priority %d at revision %d, want %d", what, entry.id, got, configuration.Revision, priority)
+			}
+			if configuration.Revision < greatest[entry.id] {
+				t.Errorf("%s: %s went back from revision %d to %d", what, entry.id, greatest[entry.id], configuration.Revision)
+			}
+			greatest[entry.id] = configuration.Revision
+		}
+	}
+	submit := func(priority int) server.SubmissionStatus {
+		t.Helper()
+		return fleet.mustSubmit(fleet.entries[0], priorityCorrection(newKey(), "tutors", priority))
+	}
+	status := submit(1)
+	if !status.InForce {
+		t.Fatalf("not in force with everything up: %+v", status.Zones)
+	}
+	check("everything up", status.Revision, 1, fleet.entries...)
+
+	cut("zone-c", faulter.Cutoff)
+	status = submit(2)
+	if status.InForce || !status.Accepted {
+		t.Errorf("a zone that is cut off is told as in force: %+v", status.Zones)
+	}
+	for _, zone := range status.Zones {
+		if zone.InForce != (zone.Zone != "zone-c") {
+			t.Errorf("%s in force %v", zone.Zone, zone.InForce)
+		}
+	}
+	check("a zone cut off", status.Revision, 2, fleet.entries[:4]...)
+	cut("zone-c", faulter.Pass)
+	healed := time.Now()
+	check("a zone healed", status.Revision, 2, fleet.entries...)
+	if took := time.Since(healed); took > inForceBound {
+		t.Errorf("the healed zone took %v", took)
+	}
+
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{SkipWatches: true})
+	status = submit(3)
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{})
+	check("watches that miss events", status.Revision, 3, fleet.entries...)
+
+	old := fleet.entries[5]
+	old.freeze()
+	status = submit(4)
+	old.thaw()
+	check("an old process awake again", status.Revision, 4, fleet.entries...)
+
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
+	fleet.entries[1].kill()
+	fleet.entries[1].start()
+	await(t, "an entry that starts in an outage learns from its peers", func() bool {
+		configuration, err := fleet.administrator(fleet.entries[1]).Configuration(context.Background())
+		return err == nil && configuration.Revision >= status.Revision
+	})
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{})
+
+	for _, entry := range fleet.entries {
+		entry.kill()
+		entry.start()
+		fleet.awaitEntry(entry)
+	}
+	check("all entries replaced one by one", status.Revision, 4, fleet.entries...)
+}
+
+func TestManyChangesPassTheSnapshot(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          1,
+		entriesPerZone: 2,
+	})
+	frozen := fleet.entries[1]
+	frozen.freeze()
+	var last server.SubmissionStatus
+	for i := range 80 {
+		submission := priorityCorrection(newKey(), fmt.Sprintf("workspace-%d", i), i%10)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		status, err := fleet.administrator(fleet.entries[0]).Submit(ctx, submission)
+		cancel()
+		if err == nil {
+			last = status
+		}
+	}
+	frozen.thaw()
+	revision := fleet.awaitRevision(fleet.entries[0], last.Revision).Revision
+	configuration := fleet.awaitRevision(frozen, revision)
+	for i := range 80 {
+		if got := priorityOf(configuration, fmt.Sprintf("workspace-%d", i)); got != i%10 {
+			t.Errorf("workspace %d has priority %d", i, got)
+		}
+	}
+}
--- a/cranberryward/prover/fleet_test.go
+++ b/cranberryward/prover/fleet_test.go
@@ -31,7 +31,7 @@
 	testToken   = "integration-token"
 	testModel   = "assistant"
 	testService = "booking"
-	awaitLimit  = 30 * time.Second
+	awaitLimit  = 12 * time.Second
 	awaitPoll   = 10 * time.Millisecond
 )
 
--- a/cranberryward/prover/switch_test.go
+++ b/cranberryward/prover/switch_test.go
@@ -46,6 +46,8 @@
 	return port.handle.Map(version)
 }
 
+func (port *faultyPort) Bypass() (switcher.Port, bool) { return nil, false }
+
 func (port *faultyPort) Order(ctx context.Context, order cranberryward.Order) error {
 	port.mutex.Lock()
 	defer port.mutex.Unlock()
--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -89,10 +89,16 @@
 
 func (follower *Follower) round(ctx context.Context) (advanced bool) {
 	membership := follower.holder.Membership()
-	if follower.entry && IsRoot(membership, follower.zone, follower.id) {
-		return follower.watch(ctx, followWait)
+	root := follower.entry && IsRoot(membership, follower.zone, follower.id)
+	if root && follower.watch(ctx, followWait) {
+		return true
+	}
+	parents := Parents(membership, follower.zone, follower.id)
+	if root {
+		// What the platform cannot tell during its outage, another entry of the zone may know.
+		parents = Entries(membership, follower.zone)
 	}
-	for _, parent := range Parents(membership, follower.zone, follower.id) {
+	for _, parent := range parents {
 		if parent.ID == follower.id {
 			continue
 		}
@@ -102,7 +108,7 @@
 			return true
 		}
 	}
-	if follower.entry {
+	if follower.entry && !root {
 		return follower.watch(ctx, followWait)
 	}
 	return false
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -40,6 +40,8 @@
 	State(ctx context.Context) (cranberryward.RankState, error)
 	// Map returns an expert map that the rank holds.
 	Map(ctx context.Context, version uint64) (cranberryward.ExpertMap, error)
+	// Bypass returns a port that reaches the rank without its agent, and false when there is none.
+	Bypass() (Port, bool)
 	// Order carries out an order at the rank.
 	Order(ctx context.Context, order cranberryward.Order) error
 }
@@ -310,24 +312,17 @@
 }
 
 func (attempt *attempt) restoreOnce(ctx context.Context, version uint64) bool {
+	if ports := attempt.switcher.ports(); len(ports) == len(attempt.ports) {
+		// An agent that was restarted takes orders only for its present life.
+		attempt.ports = ports
+	}
 	order := attempt.order(cranberryward.OrderSwitch, version, attempt.next())
 	var group errgroup.Group
 	for i, port := range attempt.ports {
 		group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			err := port.Order(ctx, order)
-			if err == nil {
-				return nil
-			}
-			state, stateErr := port.State(ctx)
-			if stateErr != nil {
-				return err
-			}
-			restarted := len(attempt.before) > i && state.Incarnation != attempt.before[i].Incarnation
-			passed := state.Step >= attempt.step
-			if passed || (restarted && state.MapVersion == 0) {
-				return nil
+			err := attempt.restoreRank(ctx, i, port, order)
+			if bypass, ok := port.Bypass(); ok && err != nil {
+				err = attempt.restoreRank(ctx, i, bypass, order)
 			}
 			return err
 		})
@@ -335,6 +330,25 @@
 	return group.Wait() == nil
 }
 
+// restoreRank returns nil when the rank runs the ordered version or, after a restart, none at all.
+func (attempt *attempt) restoreRank(ctx context.Context, rank int, port Port, order cranberryward.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := port.Order(ctx, order)
+	if err == nil {
+		return nil
+	}
+	state, stateErr := port.State(ctx)
+	if stateErr != nil {
+		return err
+	}
+	restarted := len(attempt.before) > rank && state.Incarnation != attempt.before[rank].Incarnation
+	if state.Step >= attempt.step || (restarted && state.MapVersion == 0) {
+		return nil
+	}
+	return err
+}
+
 // Resolve releases a group that an earlier driver left held, on the newest version that every rank has prepared, to which any late order of that driver leads too.
 func (switcher *Switcher) Resolve(ctx context.Context) (resolved bool, err error) {
 	switcher.mutex.Lock()
