Measure placement and routing against baselines on seeded traces

Cause: the decisions had no figures, and the placement of 32 ranks, 256 experts and 60 layers took 231 ms.

The measure program replays traces through the decision functions.

--- /dev/null
+++ b/measure/queuer/model.go
@@ -0,0 +1,189 @@
+package queuer
+
+import (
+	"container/list"
+	"math"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/limiter"
+)
+
+const (
+	servers          = 16
+	slotsPerServer   = 32
+	prefillPerMilli  = 40.0
+	stepMillis       = 22.0
+	cacheBlocks      = 1500
+	workspaces       = 10
+	sessions         = 640
+	workspaceZipf    = 1.1
+	systemBytes      = 3072
+	turnBytes        = 320
+	maxTurns         = 24
+	meanTokens       = 60
+	reportMillis     = 1000.0
+	reportLagMillis  = 300.0
+	eventLagMillis   = 2000.0
+	eventLoss        = 0.05
+	deadlineMillis   = 4000.0
+	queueCapacity    = 128
+	warmupShare      = 0.2
+	highPriority     = 9
+	normalPriority   = 5
+	percent95        = 0.95
+	percent99        = 0.99
+	millisPerSecond  = 1000.0
+	limitMinimum     = 4
+	limitMaximum     = 64
+	prefixGeneration = 1 << 16
+)
+
+// Row is what one policy reached.
+type Row struct {
+	Policy   string  `json:"policy"`
+	HitShare float64 `json:"hit_share"`
+	P50      float64 `json:"p50_ms"`
+	P95      float64 `json:"p95_ms"`
+	P99      float64 `json:"p99_ms"`
+	Goodput  float64 `json:"goodput"`
+	Fairness float64 `json:"fairness"`
+	Offered  float64 `json:"offered"`
+}
+
+type request struct {
+	at        float64
+	workspace int
+	prompt    int
+	blocks    []uint64
+	tokens    int
+	ticket    *limiter.Ticket
+}
+
+type event struct {
+	at     float64
+	stored []uint64
+	gone   []uint64
+}
+
+type engine struct {
+	prefillFree float64
+	releases    []float64
+	queue       *limiter.FairQueue
+	waiting     map[*limiter.Ticket]*request
+	concurrency limiter.Concurrency
+	service     float64
+	order       *list.List
+	blocks      map[uint64]*list.Element
+	events      []event
+	reports     []report
+}
+
+type report struct {
+	at      float64
+	running int
+	queued  int
+	prefill int
+}
+
+// priorityOf gives two workspaces the high priority.
+func priorityOf(workspace int) int {
+	if workspace < 2 {
+		return highPriority
+	}
+	return normalPriority
+}
+
+// makeTrace returns requests of sessions that grow turn by turn, at a rate in requests a second.
+func makeTrace(seed uint64, perSecond, seconds float64) []*request {
+	random := rand.New(rand.NewPCG(seed, 0x707))
+	var weights []float64
+	total := 0.0
+	for workspace := range workspaces {
+		total += math.Pow(float64(workspace+1), -workspaceZipf)
+		weights = append(weights, total)
+	}
+	turns := make([]int, sessions)
+	owner := make([]int, sessions)
+	for session := range sessions {
+		point := random.Float64() * total
+		owner[session] = sort.SearchFloat64s(weights, point)
+	}
+	var trace []*request
+	for at := 0.0; at < seconds*millisPerSecond; at += random.ExpFloat64() / perSecond * millisPerSecond {
+		session := random.IntN(sessions)
+		turns[session]++
+		if turns[session] > maxTurns {
+			turns[session] = 1
+		}
+		prompt := systemBytes + turns[session]*turnBytes
+		trace = append(trace, &request{
+			at:        at,
+			workspace: owner[session],
+			prompt:    prompt,
+			blocks:    blocksOf(owner[session], session, prompt),
+			tokens:    1 + int(random.ExpFloat64()*meanTokens),
+		})
+	}
+	return trace
+}
+
+// blocksOf shares the system prompt's blocks within a workspace and the rest within a session.
+func blocksOf(workspace, session, prompt int) []uint64 {
+	var blocks []uint64
+	for block := range prompt / cranberryward.PrefixBlockBytes {
+		name := uint64(workspace)<<32 | uint64(block)
+		if block*cranberryward.PrefixBlockBytes >= systemBytes {
+			name = 1<<60 | uint64(session)<<32 | uint64(block)
+		}
+		blocks = append(blocks, name*0x9E3779B97F4A7C15)
+	}
+	return blocks
+}
+
+func newEngine() *engine {
+	return &engine{
+		queue:       limiter.NewFairQueue(queueCapacity),
+		waiting:     map[*limiter.Ticket]*request{},
+		concurrency: limiter.NewConcurrency(slotsPerServer, limitMinimum, limitMaximum),
+		order:       list.New(),
+		blocks:      map[uint64]*list.Element{},
+	}
+}
+
+func (engine *engine) hit(blocks []uint64) int {
+	for i, block := range blocks {
+		if engine.blocks[block] == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+func (engine *engine) store(blocks []uint64) (gone []uint64) {
+	for _, block := range blocks {
+		if element := engine.blocks[block]; element != nil {
+			engine.order.MoveToFront(element)
+			continue
+		}
+		engine.blocks[block] = engine.order.PushFront(block)
+	}
+	for engine.order.Len() > cacheBlocks {
+		block := engine.order.Remove(engine.order.Back()).(uint64)
+		delete(engine.blocks, block)
+		gone = append(gone, block)
+	}
+	return gone
+}
+
+func (engine *engine) running(now float64) int {
+	kept := engine.releases[:0]
+	for _, release := range engine.releases {
+		if release > now {
+			kept = append(kept, release)
+		}
+	}
+	engine.releases = kept
+	return len(kept)
+}
--- /dev/null
+++ b/measure/replayer/replay.go
@@ -0,0 +1,213 @@
+package replayer
+
+import (
+	"sort"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/measure/tracer"
+	"github.com/cranberryward/cranberryward/planner"
+)
+
+const (
+	days              = 3
+	judgedFrom        = 2 * tracer.SecondsPerDay
+	expertBytes       = 40e6
+	bytesPerSecond    = 2e9
+	changeSeconds     = 60.0
+	stepsPerChange    = 3
+	loadsPerSlowStep  = 8
+	sparePerRankShare = 2
+	percentile95      = 0.95
+	percentile99      = 0.99
+	bytesPerGB        = 1e9
+)
+
+// Row is what one policy reached over the third day of a trace.
+type Row struct {
+	Policy     string  `json:"policy"`
+	MeanSkew   float64 `json:"mean_skew"`
+	P95Skew    float64 `json:"p95_skew"`
+	P99Skew    float64 `json:"p99_skew"`
+	Bound      float64 `json:"bound"`
+	Excess     float64 `json:"excess"`
+	QuietSkew  float64 `json:"quiet_skew"`
+	MovedGB    float64 `json:"moved_gb"`
+	Changes    int     `json:"changes"`
+	CachesLost int     `json:"caches_lost"`
+	Delayed    int     `json:"steps_delayed"`
+	QuietActs  int     `json:"quiet_acts"`
+}
+
+// Point is the state of a policy at one time of the third day.
+type Point struct {
+	Second  float64 `json:"second"`
+	Skew    float64 `json:"skew"`
+	MovedGB float64 `json:"moved_gb"`
+}
+
+// windowGreedy builds a greedy map once, at the last decision before a quiet window.
+type windowGreedy struct {
+	interval float64
+}
+
+// Decide returns a greedy map when the next decision would come too late.
+func (windowGreedy windowGreedy) Decide(situation planner.Situation, estimator *planner.Estimator) planner.Decision {
+	last := situation.QuietFrom-situation.Second <= windowGreedy.interval+changeSeconds
+	if situation.Quiet || !last {
+		return planner.Static{}.Decide(situation, estimator)
+	}
+	return planner.Greedy{}.Decide(situation, estimator)
+}
+
+// Policies returns the baselines and the project's policy with a user's weights.
+func Policies(shape tracer.Shape, weights planner.Weights) map[string]planner.Policy {
+	return map[string]planner.Policy{
+		"static":          planner.Static{},
+		"greedy":          planner.Greedy{},
+		"threshold":       planner.NewThreshold(1.05, 1.25),
+		"greedy-at-quiet": windowGreedy{interval: shape.Interval()},
+		"cranberryward":   planner.NewPaying(weights),
+	}
+}
+
+type run struct {
+	shape   tracer.Shape
+	trace   *tracer.Trace
+	policy  planner.Policy
+	weights planner.Weights
+	present cranberryward.ExpertMap
+	row     Row
+	skews   []float64
+	bounds  []float64
+	quiet   []float64
+	points  []Point
+}
+
+// Replay returns the row of a policy and its course over the third day.
+func Replay(name string, shape tracer.Shape, seed uint64, policy planner.Policy, weights planner.Weights) (Row, []Point) {
+	run := &run{
+		shape:   shape,
+		trace:   tracer.New(shape, seed),
+		policy:  policy,
+		weights: weights,
+		row: Row{
+			Policy: name,
+		},
+	}
+	run.begin()
+	estimator := planner.NewEstimator(shape.Layers(), shape.Experts(), weights)
+	for second := 0.0; second < days*tracer.SecondsPerDay; second += shape.Interval() {
+		estimator.Observe(second, run.trace.Reports(second))
+		run.decide(second, estimator)
+		run.judge(second + shape.Interval()/2)
+	}
+	run.finish()
+	return run.row, run.points
+}
+
+// begin places the first map by greedy for the loads at the start.
+func (run *run) begin() {
+	capacity := make([]int, run.shape.Ranks())
+	for rank := range capacity {
+		capacity[rank] = run.shape.Slots()
+	}
+	run.present = cranberryward.ExpertMap{
+		Version: 1,
+		Ranks:   run.shape.Ranks(),
+	}
+	for _, loads := range run.trace.Loads(0) {
+		run.present.Layers = append(run.present.Layers, planner.GreedyLayer(loads, capacity))
+	}
+}
+
+func (run *run) decide(second float64, estimator *planner.Estimator) {
+	inside, from, until := run.shape.Quiet(second)
+	decision := run.policy.Decide(planner.Situation{
+		Second:  second,
+		Present: run.present,
+		Memory: planner.Memory{
+			SlotsPerLayer: run.shape.Slots(),
+			SparePerRank:  run.shape.Slots() * run.shape.Layers() / sparePerRankShare,
+			ExpertBytes:   expertBytes,
+		},
+		BytesPerSecond: bytesPerSecond,
+		ChangeSeconds:  changeSeconds,
+		Quiet:          inside,
+		QuietFrom:      from,
+		QuietUntil:     until,
+	}, estimator)
+	if decision.Keep() {
+		return
+	}
+	if !planner.Covers(decision.Map(), run.shape.Experts(), run.shape.Slots()) {
+		panic("policy " + run.row.Policy + " made a map that does not hold every expert")
+	}
+	run.present = decision.Map()
+	if second < judgedFrom {
+		return
+	}
+	run.count(decision, inside)
+}
+
+func (run *run) count(decision planner.Decision, inside bool) {
+	perRank := make([]int, run.shape.Ranks())
+	for _, move := range decision.Moves() {
+		if !move.Discard {
+			perRank[move.Rank]++
+		}
+	}
+	busiest := 0
+	for _, loads := range perRank {
+		busiest = max(busiest, loads)
+		if loads > 0 {
+			run.row.CachesLost++
+		}
+	}
+	run.row.Changes++
+	run.row.Delayed += stepsPerChange + busiest/loadsPerSlowStep
+	run.row.MovedGB += float64(decision.Loads()) * expertBytes / bytesPerGB
+	if inside {
+		run.row.QuietActs++
+	}
+}
+
+func (run *run) judge(second float64) {
+	if second < judgedFrom {
+		return
+	}
+	loads := run.trace.Loads(second)
+	skew := planner.MeanSkew(run.present, loads)
+	bound := 0.0
+	for _, layer := range loads {
+		bound += planner.LowerBound(layer, run.shape.Ranks(), run.shape.Slots())
+	}
+	run.skews = append(run.skews, skew)
+	run.bounds = append(run.bounds, bound/float64(len(loads)))
+	if inside, _, _ := run.shape.Quiet(second); inside {
+		run.quiet = append(run.quiet, skew)
+	}
+	run.points = append(run.points, Point{
+		Second:  second - judgedFrom,
+		Skew:    skew,
+		MovedGB: run.row.MovedGB,
+	})
+}
+
+func (run *run) finish() {
+	run.row.MeanSkew = mean(run.skews)
+	run.row.Bound = mean(run.bounds)
+	run.row.Excess = run.row.MeanSkew - run.row.Bound
+	run.row.QuietSkew = mean(run.quiet)
+	sorted := append([]float64{}, run.skews...)
+	sort.Float64s(sorted)
+	run.row.P95Skew = sorted[int(percentile95*float64(len(sorted)-1))]
+	run.row.P99Skew = sorted[int(percentile99*float64(len(sorted)-1))]
+}
+
+func mean(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total / float64(max(len(values), 1))
+}
--- /dev/null
+++ b/measure/tracer/doc.go
@@ -0,0 +1,2 @@
+// Package tracer makes the seeded load traces of docs/MEASURES.md.
+package tracer
--- a/planner/estimator.go
+++ b/planner/estimator.go
@@ -11,7 +11,12 @@
 	maxGrowth      = 1000.0
 	profileGain    = 0.5
 	trendSmoothing = 0.2
+	surpriseStart  = 0.3
+	surpriseWidth  = 0.4
+	surpriseGain   = 0.9
 	minLoad        = 1e-9
+
+	deviationSeconds = 7200.0
 )
 
 // Estimator estimates and forecasts the share of each expert in its layer's load from reports that are late, noisy or missing.
@@ -147,7 +152,7 @@
 		}
 		before := level[expert]
 		predicted := before + estimator.damping*trend[expert]*elapsed
-		level[expert] = math.Max(minLoad, predicted+estimator.smoothing*(share-predicted))
+		level[expert] = math.Max(minLoad, predicted+estimator.gain(share, predicted)*(share-predicted))
 		if elapsed > 0 {
 			trend[expert] += trendSmoothing * ((level[expert]-before)/elapsed - trend[expert])
 		}
@@ -159,6 +164,14 @@
 	}
 }
 
+// gain believes a report more the further it is from the prediction, beyond what noise explains.
+func (estimator *Estimator) gain(share, predicted float64) float64 {
+	floor := 1 / float64(estimator.experts)
+	surprise := math.Abs(share-predicted) / math.Max(predicted, floor)
+	weight := math.Min(1, math.Max(0, (surprise-surpriseStart)/surpriseWidth))
+	return estimator.smoothing + (surpriseGain-estimator.smoothing)*weight
+}
+
 func smoothingOf(bins int) float64 { return 24 / float64(bins) }
 
 func binOf(second float64) int {
@@ -206,10 +219,12 @@
 	known := estimator.observed > 0 && second-estimator.firstSecond >= secondsPerDay*0.9 &&
 		present != nil && future != nil && present[layer] != nil && future[layer] != nil
 	ahead := math.Min(at-second, secondsPerDay/profileBins)
+	// What today differs by from earlier days is believed less the further ahead.
+	fade := math.Exp(-(at - second) / deviationSeconds)
 	for expert := range forecast {
 		share := estimator.level[layer][expert]
 		if known {
-			share += future[layer][expert] - present[layer][expert]
+			share = future[layer][expert] + fade*(share-present[layer][expert])
 		} else {
 			share += estimator.damping * estimator.trend[layer][expert] * ahead
 		}
--- a/planner/layer.go
+++ b/planner/layer.go
@@ -1,9 +1,13 @@
 package planner
 
-import "math"
+import (
+	"slices"
+)
 
 const (
 	maxOperations  = 48
+	maxTargets     = 4
+	patience       = 10
 	minImprovement = 1e-4
 )
 
@@ -30,6 +34,9 @@
 	mean      float64
 	present   []uint64
 	words     int
+	order     []int
+	holders   [][]int
+	shares    []float64
 }
 
 func newLayer(placement [][]int, loads []float64) *layer {
@@ -39,6 +46,8 @@
 		counts:    make([]int, len(loads)),
 		totals:    make([]float64, len(placement)),
 		words:     (len(loads) + 63) / 64,
+		holders:   make([][]int, len(loads)),
+		shares:    make([]float64, len(loads)),
 	}
 	layer.present = make([]uint64, layer.words*len(placement))
 	for rank, experts := range placement {
@@ -46,12 +55,20 @@
 		for _, expert := range experts {
 			layer.counts[expert]++
 			layer.mark(rank, expert, true)
+			layer.holders[expert] = append(layer.holders[expert], rank)
 		}
 	}
+	for expert := range loads {
+		layer.updateShare(expert)
+	}
 	layer.sum()
 	return layer
 }
 
+func (layer *layer) updateShare(expert int) {
+	layer.shares[expert] = layer.loads[expert] / float64(max(layer.counts[expert], 1))
+}
+
 func (layer *layer) mark(rank, expert int, held bool) {
 	word, bit := rank*layer.words+expert/64, uint64(1)<<(expert%64)
 	if held {
@@ -66,7 +83,7 @@
 }
 
 func (layer *layer) share(expert int) float64 {
-	return layer.loads[expert] / float64(layer.counts[expert])
+	return layer.shares[expert]
 }
 
 func (layer *layer) sum() {
@@ -113,8 +130,9 @@
 			best, found = candidate, true
 		}
 	}
+	targets := layer.lightest()
 	for _, expert := range layer.placement[worst] {
-		for rank := range layer.placement {
+		for _, rank := range targets {
 			if rank == worst || layer.holds(rank, expert) {
 				continue
 			}
@@ -125,6 +143,26 @@
 	return best, found
 }
 
+// lightest returns the ranks with the least load, which are the only ones worth relieving another rank with.
+func (layer *layer) lightest() []int {
+	layer.order = layer.order[:0]
+	for rank := range layer.totals {
+		position := len(layer.order)
+		if position == maxTargets {
+			if layer.totals[rank] >= layer.totals[layer.order[position-1]] {
+				continue
+			}
+			position--
+			layer.order = layer.order[:position]
+		}
+		for position > 0 && layer.totals[layer.order[position-1]] > layer.totals[rank] {
+			position--
+		}
+		layer.order = slices.Insert(layer.order, position, rank)
+	}
+	return layer.order
+}
+
 // considerReplicas weighs adding a replica of the expert on the rank in place of a replica that others hold too.
 func (layer *layer) considerReplicas(worst, rank, expert int, consider func(operation)) {
 	share := layer.share(expert)
@@ -141,17 +179,17 @@
 		if layer.holds(worst, dropped) {
 			after += spread
 		}
-		slowest = math.Max(slowest, after)
+		slowest = max(slowest, after)
 		if slowest >= layer.totals[worst] {
 			continue
 		}
-		for holder := range layer.placement {
-			if holder != rank && holder != worst && layer.holds(holder, dropped) {
+		for _, holder := range layer.holders[dropped] {
+			if holder != rank && holder != worst {
 				total := layer.totals[holder] + spread
 				if layer.holds(holder, expert) {
 					total += added - share
 				}
-				slowest = math.Max(slowest, total)
+				slowest = max(slowest, total)
 			}
 		}
 		consider(operation{
@@ -180,7 +218,7 @@
 			in:       expert,
 			out:      other,
 			exchange: true,
-			slowest:  math.Max(layer.totals[worst]-share+back, layer.totals[rank]-back+share),
+			slowest:  max(layer.totals[worst]-share+back, layer.totals[rank]-back+share),
 		})
 	}
 }
@@ -193,6 +231,8 @@
 		layer.counts[operation.in]++
 		layer.counts[operation.out]--
 	}
+	layer.updateShare(operation.in)
+	layer.updateShare(operation.out)
 	layer.sum()
 }
 
@@ -204,6 +244,8 @@
 	}
 	layer.mark(rank, out, false)
 	layer.mark(rank, in, true)
+	layer.holders[out] = slices.DeleteFunc(layer.holders[out], func(holder int) bool { return holder == rank })
+	layer.holders[in] = append(layer.holders[in], rank)
 }
 
 // improve applies operations as long as the skew that they remove is worth their moves at the given price.
@@ -223,6 +265,9 @@
 		if net := value*(before-trial.skew()) - price*float64(moves); net > bestNet {
 			bestCount, bestMoves, bestNet = len(operations), moves, net
 		}
+		if len(operations)-bestCount > patience {
+			break
+		}
 	}
 	for _, operation := range operations[:bestCount] {
 		layer.apply(operation)
--- a/planner/message.go
+++ b/planner/message.go
@@ -14,8 +14,8 @@
 func ParlamigoWeights() Weights {
 	return Weights{
 		SkewValue:      1,
-		MovePrice:      1.5,
-		ChangePrice:    2,
+		MovePrice:      0.4,
+		ChangePrice:    0.5,
 		HorizonSeconds: 1800,
 		Smoothing:      0.4,
 		TrendDamping:   0.5,
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -145,6 +145,9 @@
 		skew := layer.skew()
 		before += skew
 		moves, gain := layer.improve(value, price)
+		if rebuilt, ok := rebuildLayer(placement, forecast[i], skew, value, price); ok && rebuilt.net > value*gain-price*float64(moves) {
+			layer, moves, gain = rebuilt.after, rebuilt.moves, rebuilt.gain
+		}
 		if moves > 0 {
 			changes = append(changes, improved{
 				layer: i,
