--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 	go test -race -count=1 $(MODULES)
 
 check: format vet lint test
+
+measure:
+	go run ./measure --seed $(SEED) --deployment $(DEPLOYMENT)
--- a/cranberryward/local/smoke.go
+++ b/cranberryward/local/smoke.go
@@ -32,11 +32,26 @@
 
 func (options *Options) runSmoke(ctx context.Context, deployment *deployer.Deployment) error {
 	steps := []smokeStep{
-		{name: "streamed model request", run: streamRequest},
-		{name: "booking sent twice with one key", run: bookTwice},
-		{name: "expert map change", run: changeMap},
-		{name: "sheet with a quiet window", run: submitSheet},
-		{name: "correction", run: submitCorrection},
+		{
+			name: "streamed model request",
+			run:  streamRequest,
+		},
+		{
+			name: "booking sent twice with one key",
+			run:  bookTwice,
+		},
+		{
+			name: "expert map change",
+			run:  changeMap,
+		},
+		{
+			name: "sheet with a quiet window",
+			run:  submitSheet,
+		},
+		{
+			name: "correction",
+			run:  submitCorrection,
+		},
 	}
 	failed := 0
 	for _, step := range steps {
--- a/cranberryward/prover/answers_test.go
+++ b/cranberryward/prover/answers_test.go
@@ -49,49 +49,84 @@
 		healFirst bool
 		allWhole  bool
 	}{
-		{name: "late chunks", fault: func() {
-			for _, engine := range fleet.engines {
-				engine.requests.SetDelay(20 * time.Millisecond)
-				engine.engine.SetDelay(5 * time.Millisecond)
-			}
-		}, heal: func() {
-			for _, engine := range fleet.engines {
-				engine.requests.SetDelay(0)
-				engine.engine.SetDelay(0)
-			}
-		}, allWhole: true},
-		{name: "connections to agents cut in the middle", fault: func() {
-			for _, engine := range fleet.engines {
-				engine.requests.CutAfter(2000)
-			}
-		}, heal: func() {}, allWhole: true},
-		{name: "connections to engines cut in the middle", fault: func() {
-			for _, engine := range fleet.engines {
-				engine.engine.CutAfter(2000)
-			}
-		}, heal: func() {}, allWhole: true},
-		{name: "answers frozen for a while", fault: func() {
-			for _, engine := range fleet.engines {
-				engine.requests.SetMode(faulter.Freeze)
-			}
-			pause(300 * time.Millisecond)
-		}, heal: func() {
-			for _, engine := range fleet.engines {
-				engine.requests.SetMode(faulter.Pass)
-			}
-		}, healFirst: true, allWhole: true},
-		{name: "half-open connections", fault: func() { fleet.engines[0].requests.SetMode(faulter.HalfOpen) },
+		{
+			name: "late chunks",
+			fault: func() {
+				for _, engine := range fleet.engines {
+					engine.requests.SetDelay(20 * time.Millisecond)
+					engine.engine.SetDelay(5 * time.Millisecond)
+				}
+			},
+			heal: func() {
+				for _, engine := range fleet.engines {
+					engine.requests.SetDelay(0)
+					engine.engine.SetDelay(0)
+				}
+			},
+			allWhole: true,
+		},
+		{
+			name: "connections to agents cut in the middle",
+			fault: func() {
+				for _, engine := range fleet.engines {
+					engine.requests.CutAfter(2000)
+				}
+			},
+			heal:     func() {},
+			allWhole: true,
+		},
+		{
+			name: "connections to engines cut in the middle",
+			fault: func() {
+				for _, engine := range fleet.engines {
+					engine.engine.CutAfter(2000)
+				}
+			},
+			heal:     func() {},
+			allWhole: true,
+		},
+		{
+			name: "answers frozen for a while",
+			fault: func() {
+				for _, engine := range fleet.engines {
+					engine.requests.SetMode(faulter.Freeze)
+				}
+				pause(300 * time.Millisecond)
+			},
+			heal: func() {
+				for _, engine := range fleet.engines {
+					engine.requests.SetMode(faulter.Pass)
+				}
+			},
+			healFirst: true,
+			allWhole:  true,
+		},
+		{
+			name:  "half-open connections",
+			fault: func() { fleet.engines[0].requests.SetMode(faulter.HalfOpen) },
 			heal: func() {
 				fleet.engines[0].requests.SetMode(faulter.Cutoff)
 				fleet.engines[0].requests.SetMode(faulter.Pass)
-			}},
-		{name: "an engine rank killed", fault: func() { fleet.setFaults(fleet.engines[0].backend, engineserver.Faults{Dead: true}) },
-			heal: func() { fleet.setFaults(fleet.engines[0].backend, engineserver.Faults{}) }},
-		{name: "an agent killed", fault: fleet.engines[1].kill, heal: fleet.engines[1].start},
-		{name: "an entry killed", fault: fleet.entries[1].kill, heal: func() {
-			fleet.entries[1].start()
-			fleet.awaitEntry(fleet.entries[1])
-		}},
+			},
+		},
+		{
+			name:  "an engine rank killed",
+			fault: func() { fleet.setFaults(fleet.engines[0].backend, engineserver.Faults{Dead: true}) },
+			heal:  func() { fleet.setFaults(fleet.engines[0].backend, engineserver.Faults{}) },
+		},
+		{
+			name:  "an agent killed",
+			fault: fleet.engines[1].kill,
+			heal:  fleet.engines[1].start,
+		},
+		{
+			name:  "an entry killed",
+			fault: fleet.entries[1].kill,
+			heal: func() {
+				fleet.entries[1].start()
+				fleet.awaitEntry(fleet.entries[1])
+			},
+		},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/cranberryward/prover/atmostonce_test.go
+++ b/cranberryward/prover/atmostonce_test.go
@@ -106,73 +106,141 @@
 		timed     bool
 		allServed bool
 	}{
-		{name: "the same key at the same time through all entries", timed: true, allServed: true},
-		{name: "keys without a time", allServed: true},
-		{name: "answers of the service lost", timed: true, fault: func() {
-			for _, service := range fleet.services {
-				fleet.setFaults(service.backend, serviceserver.Faults{LoseAnswers: 3})
-			}
-		}},
-		{name: "answers of agents lost", timed: true, allServed: true, fault: func() {
-			for _, service := range fleet.services {
-				service.requests.CutAfter(600)
-			}
-		}},
-		{name: "a service killed and back", timed: true, fault: func() {
-			fleet.setFaults(home.backend, serviceserver.Faults{Down: true})
-		}, heal: func() { fleet.setFaults(home.backend, serviceserver.Faults{}) }},
-		{name: "the key-value service out, keys with a time", timed: true, allServed: true, fault: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
-			pause(2 * time.Second)
-		}, heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) }},
-		{name: "the key-value service out, keys without a time", fault: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
-		}, heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) }},
-		{name: "claims applied and their answers lost", allServed: true, fault: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{LoseAnswers: 6, LosePrefix: "claims/"})
-		}, heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) }},
-		{name: "the instance list and the key-value service out", timed: true, fault: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
-			fleet.setFaults(fleet.list, listserver.Faults{Outage: true})
-		}, heal: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{})
-			fleet.setFaults(fleet.list, listserver.Faults{})
-		}},
-		{name: "a zone cut off from the others and the platform", timed: true, fault: func() {
-			for _, member := range fleet.members() {
-				if member.zone == "zone-b" {
-					member.cutPlatform(faulter.Cutoff)
-					member.cutPeers(faulter.Cutoff)
+		{
+			name:      "the same key at the same time through all entries",
+			timed:     true,
+			allServed: true,
+		},
+		{
+			name:      "keys without a time",
+			allServed: true,
+		},
+		{
+			name:  "answers of the service lost",
+			timed: true,
+			fault: func() {
+				for _, service := range fleet.services {
+					fleet.setFaults(service.backend, serviceserver.Faults{LoseAnswers: 3})
 				}
-			}
-			pause(2 * time.Second)
-		}, heal: func() {
-			for _, member := range fleet.members() {
-				member.cutPlatform(faulter.Pass)
-				member.cutPeers(faulter.Pass)
-			}
-		}},
-		{name: "an entry killed", timed: true, fault: func() { fleet.entries[2].kill() }, heal: func() {
-			fleet.entries[2].start()
-			fleet.awaitEntry(fleet.entries[2])
-		}},
-		{name: "a home killed and started again", timed: true, fault: func() {
-			home.kill()
-			home.start()
-		}},
-		{name: "a home killed and taken off the list", timed: true, fault: func() {
-			home.kill()
-			fleet.unlist(home)
-		}, heal: home.start},
-		{name: "a home frozen, taken off the list and awake again", timed: true, fault: func() {
-			home.freeze()
-			fleet.unlist(home)
-			pause(4 * time.Second)
-			home.thaw()
-		}, heal: func() {
-			home.kill()
-			home.start()
-		}},
+			},
+		},
+		{
+			name:      "answers of agents lost",
+			timed:     true,
+			allServed: true,
+			fault: func() {
+				for _, service := range fleet.services {
+					service.requests.CutAfter(600)
+				}
+			},
+		},
+		{
+			name:  "a service killed and back",
+			timed: true,
+			fault: func() {
+				fleet.setFaults(home.backend, serviceserver.Faults{Down: true})
+			},
+			heal: func() { fleet.setFaults(home.backend, serviceserver.Faults{}) },
+		},
+		{
+			name:      "the key-value service out, keys with a time",
+			timed:     true,
+			allServed: true,
+			fault: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
+				pause(2 * time.Second)
+			},
+			heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) },
+		},
+		{
+			name: "the key-value service out, keys without a time",
+			fault: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
+			},
+			heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) },
+		},
+		{
+			name:      "claims applied and their answers lost",
+			allServed: true,
+			fault: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{
+					LoseAnswers: 6,
+					LosePrefix:  "claims/",
+				})
+			},
+			heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) },
+		},
+		{
+			name:  "the instance list and the key-value service out",
+			timed: true,
+			fault: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
+				fleet.setFaults(fleet.list, listserver.Faults{Outage: true})
+			},
+			heal: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{})
+				fleet.setFaults(fleet.list, listserver.Faults{})
+			},
+		},
+		{
+			name:  "a zone cut off from the others and the platform",
+			timed: true,
+			fault: func() {
+				for _, member := range fleet.members() {
+					if member.zone == "zone-b" {
+						member.cutPlatform(faulter.Cutoff)
+						member.cutPeers(faulter.Cutoff)
+					}
+				}
+				pause(2 * time.Second)
+			},
+			heal: func() {
+				for _, member := range fleet.members() {
+					member.cutPlatform(faulter.Pass)
+					member.cutPeers(faulter.Pass)
+				}
+			},
+		},
+		{
+			name:  "an entry killed",
+			timed: true,
+			fault: func() { fleet.entries[2].kill() },
+			heal: func() {
+				fleet.entries[2].start()
+				fleet.awaitEntry(fleet.entries[2])
+			},
+		},
+		{
+			name:  "a home killed and started again",
+			timed: true,
+			fault: func() {
+				home.kill()
+				home.start()
+			},
+		},
+		{
+			name:  "a home killed and taken off the list",
+			timed: true,
+			fault: func() {
+				home.kill()
+				fleet.unlist(home)
+			},
+			heal: home.start,
+		},
+		{
+			name:  "a home frozen, taken off the list and awake again",
+			timed: true,
+			fault: func() {
+				home.freeze()
+				fleet.unlist(home)
+				pause(4 * time.Second)
+				home.thaw()
+			},
+			heal: func() {
+				home.kill()
+				home.start()
+			},
+		},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/cranberryward/prover/configuration_test.go
+++ b/cranberryward/prover/configuration_test.go
@@ -119,7 +119,10 @@
 		entriesPerZone: 1,
 	})
 	before := fleet.awaitRevision(fleet.entries[0], 0).Revision
-	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{LoseAnswers: 2, LosePrefix: "config/head"})
+	fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{
+		LoseAnswers: 2,
+		LosePrefix:  "config/head",
+	})
 	id := newKey()
 	first := fleet.mustSubmit(fleet.entries[0], priorityCorrection(id, "tutors", 8))
 	again := fleet.mustSubmit(fleet.entries[1], priorityCorrection(id, "tutors", 8))
--- a/cranberryward/prover/fleet_test.go
+++ b/cranberryward/prover/fleet_test.go
@@ -157,7 +157,6 @@
 	engines  []*member
 	services []*member
 	platform map[string]*process
-	extra    []string
 }
 
 type fleetOptions struct {
--- a/cranberryward/prover/leaving_test.go
+++ b/cranberryward/prover/leaving_test.go
@@ -45,8 +45,14 @@
 		fault func(fleet *fleet)
 		heal  func(fleet *fleet)
 	}{
-		"everything up":         {fault: func(*fleet) {}, heal: func(*fleet) {}},
-		"instance list lagging": {fault: func(fleet *fleet) { fleet.setFaults(fleet.list, listserver.Faults{LagMS: 60000}) }, heal: func(*fleet) {}},
+		"everything up": {
+			fault: func(*fleet) {},
+			heal:  func(*fleet) {},
+		},
+		"instance list lagging": {
+			fault: func(fleet *fleet) { fleet.setFaults(fleet.list, listserver.Faults{LagMS: 60000}) },
+			heal:  func(*fleet) {},
+		},
 		"an entry that is stale": {fault: func(fleet *fleet) {
 			fleet.entries[1].cutPlatform(faulter.Cutoff)
 			fleet.entries[1].peers.SetMode(faulter.Cutoff)
--- a/cranberryward/prover/overload_test.go
+++ b/cranberryward/prover/overload_test.go
@@ -23,7 +23,10 @@
 	})
 	const maxCrashes = 2
 	for _, engine := range fleet.engines {
-		fleet.setFaults(engine.backend, engineserver.Faults{CrashMarker: poison, RestartMS: 300})
+		fleet.setFaults(engine.backend, engineserver.Faults{
+			CrashMarker: poison,
+			RestartMS:   300,
+		})
 	}
 	innocent := fleet.startStreams(24, 200, map[string]string{cranberryward.HeaderDeadline: "20s"})
 	fleet.awaitRunning(0, 12)
--- a/cranberryward/prover/path_test.go
+++ b/cranberryward/prover/path_test.go
@@ -57,15 +57,54 @@
 		header     map[string]string
 		want       []string
 	}{
-		"body that is not JSON":      {path: "/v1/chat/completions", body: `{"model":`, want: []string{"byte"}},
-		"field of the wrong type":    {path: "/v1/chat/completions", body: `{"model":"assistant","max_tokens":"many"}`, want: []string{"max_tokens", "int", "string"}},
-		"no messages":                {path: "/v1/chat/completions", body: `{"model":"assistant"}`, want: []string{"messages", "at least one"}},
-		"no model":                   {path: "/v1/completions", body: `{"prompt":"x"}`, want: []string{"model"}},
-		"priority out of range":      {path: "/v1/completions", body: `{"model":"assistant","prompt":"x"}`, header: map[string]string{cranberryward.HeaderPriority: "12"}, want: []string{cranberryward.HeaderPriority, "0 to 9", "12"}},
-		"deadline without a unit":    {path: "/v1/completions", body: `{"model":"assistant","prompt":"x"}`, header: map[string]string{cranberryward.HeaderDeadline: "800"}, want: []string{cranberryward.HeaderDeadline, "800ms", "800"}},
-		"booking without a key":      {path: "/services/booking/bookings", body: `{}`, want: []string{cranberryward.HeaderIdempotencyKey}},
-		"service that is not known":  {path: "/services/nowhere/x", body: `{}`, want: []string{"nowhere"}},
-		"key made in the far future": {path: "/services/booking/bookings", body: `{}`, header: map[string]string{cranberryward.HeaderIdempotencyKey: "7ZZZZZZZZZ0000000000000000"}, want: []string{"future"}},
+		"body that is not JSON": {
+			path: "/v1/chat/completions",
+			body: `{"model":`,
+			want: []string{"byte"},
+		},
+		"field of the wrong type": {
+			path: "/v1/chat/completions",
+			body: `{"model":"assistant","max_tokens":"many"}`,
+			want: []string{"max_tokens", "int", "string"},
+		},
+		"no messages": {
+			path: "/v1/chat/completions",
+			body: `{"model":"assistant"}`,
+			want: []string{"messages", "at least one"},
+		},
+		"no model": {
+			path: "/v1/completions",
+			body: `{"prompt":"x"}`,
+			want: []string{"model"},
+		},
+		"priority out of range": {
+			path:   "/v1/completions",
+			body:   `{"model":"assistant","prompt":"x"}`,
+			header: map[string]string{cranberryward.HeaderPriority: "12"},
+			want:   []string{cranberryward.HeaderPriority, "0 to 9", "12"},
+		},
+		"deadline without a unit": {
+			path:   "/v1/completions",
+			body:   `{"model":"assistant","prompt":"x"}`,
+			header: map[string]string{cranberryward.HeaderDeadline: "800"},
+			want:   []string{cranberryward.HeaderDeadline, "800ms", "800"},
+		},
+		"booking without a key": {
+			path: "/services/booking/bookings",
+			body: `{}`,
+			want: []string{cranberryward.HeaderIdempotencyKey},
+		},
+		"service that is not known": {
+			path: "/services/nowhere/x",
+			body: `{}`,
+			want: []string{"nowhere"},
+		},
+		"key made in the far future": {
+			path:   "/services/booking/bookings",
+			body:   `{}`,
+			header: map[string]string{cranberryward.HeaderIdempotencyKey: "7ZZZZZZZZZ0000000000000000"},
+			want:   []string{"future"},
+		},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/cranberryward/prover/quiet_test.go
+++ b/cranberryward/prover/quiet_test.go
@@ -64,11 +64,11 @@
 	})
 	fleet.drift(0, 0.3)
 	fleet.drift(1, 0.3)
-	quiet := fleet.awaitVersion(0, 1)
+	fleet.awaitVersion(0, 1)
 	other := fleet.awaitVersion(1, 1)
 	fleet.openWindow(fleet.entries[0], "zone-a", time.Hour)
 	opened := time.Now()
-	quiet = checkSteps(t, fleet.steps(0))
+	quiet := checkSteps(t, fleet.steps(0))
 	fleet.drift(0, 0.7)
 	fleet.drift(1, 0.7)
 	fleet.awaitVersion(1, other)
@@ -148,36 +148,85 @@
 		fault func()
 		heal  func()
 	}{
-		{name: "the gate's agent killed at its hold", when: "kind=hold", fault: gate.kill, heal: gate.start},
-		{name: "another rank's agent killed at its switch", when: "kind=hold", fault: fleet.engines[2].kill, heal: fleet.engines[2].start},
-		{name: "a rank restarted with nothing", when: "kind=prepare", fault: func() {
-			fleet.setFaults(fleet.engines[1].backend, map[string]bool{"dead": true})
-			fleet.setFaults(fleet.engines[1].backend, map[string]bool{})
-		}},
-		{name: "a rank stalled", when: "kind=hold", fault: func() { fleet.setFaults(fleet.engines[1].backend, map[string]bool{"stalled": true}) },
-			heal: func() { fleet.setFaults(fleet.engines[1].backend, map[string]bool{}) }},
-		{name: "a rank's agent cut off", when: "kind=prepare", fault: func() { fleet.engines[2].peers.SetMode(faulter.Cutoff) },
-			heal: func() { fleet.engines[2].peers.SetMode(faulter.Pass) }},
-		{name: "answers of a rank's agent lost", when: "kind=hold", fault: func() { fleet.engines[1].peers.SetMode(faulter.DropAnswers) },
-			heal: func() { fleet.engines[1].peers.SetMode(faulter.Cutoff); fleet.engines[1].peers.SetMode(faulter.Pass) }},
-		{name: "the key-value service lost while a change is prepared", when: "kind=prepare", fault: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
-		}, heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) }},
-		{name: "the answer to the commit lost", when: "kind=prepare", fault: func() {
-			fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{LoseAnswers: 1, LosePrefix: "groups/"})
-		}, heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) }},
-		{name: "both entries frozen past the lease", when: "kind=prepare", fault: func() {
-			fleet.entries[0].freeze()
-			fleet.entries[1].freeze()
-			pause(2 * time.Second)
-		}, heal: func() {
-			fleet.entries[0].thaw()
-			fleet.entries[1].thaw()
-		}},
-		{name: "an entry killed", when: "kind=prepare", fault: func() { fleet.entries[0].kill() }, heal: func() {
-			fleet.entries[0].start()
-			fleet.awaitEntry(fleet.entries[0])
-		}},
+		{
+			name:  "the gate's agent killed at its hold",
+			when:  "kind=hold",
+			fault: gate.kill,
+			heal:  gate.start,
+		},
+		{
+			name:  "another rank's agent killed at its switch",
+			when:  "kind=hold",
+			fault: fleet.engines[2].kill,
+			heal:  fleet.engines[2].start,
+		},
+		{
+			name: "a rank restarted with nothing",
+			when: "kind=prepare",
+			fault: func() {
+				fleet.setFaults(fleet.engines[1].backend, map[string]bool{"dead": true})
+				fleet.setFaults(fleet.engines[1].backend, map[string]bool{})
+			},
+		},
+		{
+			name:  "a rank stalled",
+			when:  "kind=hold",
+			fault: func() { fleet.setFaults(fleet.engines[1].backend, map[string]bool{"stalled": true}) },
+			heal:  func() { fleet.setFaults(fleet.engines[1].backend, map[string]bool{}) },
+		},
+		{
+			name:  "a rank's agent cut off",
+			when:  "kind=prepare",
+			fault: func() { fleet.engines[2].peers.SetMode(faulter.Cutoff) },
+			heal:  func() { fleet.engines[2].peers.SetMode(faulter.Pass) },
+		},
+		{
+			name:  "answers of a rank's agent lost",
+			when:  "kind=hold",
+			fault: func() { fleet.engines[1].peers.SetMode(faulter.DropAnswers) },
+			heal:  func() { fleet.engines[1].peers.SetMode(faulter.Cutoff); fleet.engines[1].peers.SetMode(faulter.Pass) },
+		},
+		{
+			name: "the key-value service lost while a change is prepared",
+			when: "kind=prepare",
+			fault: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{Outage: true})
+			},
+			heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) },
+		},
+		{
+			name: "the answer to the commit lost",
+			when: "kind=prepare",
+			fault: func() {
+				fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{
+					LoseAnswers: 1,
+					LosePrefix:  "groups/",
+				})
+			},
+			heal: func() { fleet.setFaults(fleet.keyValue, keyvalueserver.Faults{}) },
+		},
+		{
+			name: "both entries frozen past the lease",
+			when: "kind=prepare",
+			fault: func() {
+				fleet.entries[0].freeze()
+				fleet.entries[1].freeze()
+				pause(2 * time.Second)
+			},
+			heal: func() {
+				fleet.entries[0].thaw()
+				fleet.entries[1].thaw()
+			},
+		},
+		{
+			name:  "an entry killed",
+			when:  "kind=prepare",
+			fault: func() { fleet.entries[0].kill() },
+			heal: func() {
+				fleet.entries[0].start()
+				fleet.awaitEntry(fleet.entries[0])
+			},
+		},
 	}
 	for i, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/cranberryward/prover/switch_test.go
+++ b/cranberryward/prover/switch_test.go
@@ -17,9 +17,8 @@
 type fault int
 
 const (
-	faultNone fault = iota
 	// faultRefused keeps the order from the rank.
-	faultRefused
+	faultRefused fault = iota + 1
 	// faultLost carries the order out and loses the answer.
 	faultLost
 	// faultLate answers at once with a failure and carries the order out later.
@@ -38,47 +37,47 @@
 	delayed []func()
 }
 
-func (port *faultyPort) State(context.Context) (cranberryward.RankState, error) {
-	return port.handle.State(), nil
+func (faultyPort *faultyPort) State(context.Context) (cranberryward.RankState, error) {
+	return faultyPort.handle.State(), nil
 }
 
-func (port *faultyPort) Map(_ context.Context, version uint64) (cranberryward.ExpertMap, error) {
-	return port.handle.Map(version)
+func (faultyPort *faultyPort) Map(_ context.Context, version uint64) (cranberryward.ExpertMap, error) {
+	return faultyPort.handle.Map(version)
 }
 
-func (port *faultyPort) Bypass() (switcher.Port, bool) { return nil, false }
+func (faultyPort *faultyPort) Bypass() (switcher.Port, bool) { return nil, false }
 
-func (port *faultyPort) Order(ctx context.Context, order cranberryward.Order) error {
-	port.mutex.Lock()
-	defer port.mutex.Unlock()
-	if order.Kind != port.kind || port.times <= 0 {
-		return port.handle.CarryOut(ctx, order)
+func (faultyPort *faultyPort) Order(ctx context.Context, order cranberryward.Order) error {
+	faultyPort.mutex.Lock()
+	defer faultyPort.mutex.Unlock()
+	if order.Kind != faultyPort.kind || faultyPort.times <= 0 {
+		return faultyPort.handle.CarryOut(ctx, order)
 	}
-	port.times--
+	faultyPort.times--
 	unknown := cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonUnreachable, "test fault")
-	switch port.fault {
+	switch faultyPort.fault {
 	case faultRefused:
 		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "test fault")
 	case faultLost:
-		_ = port.handle.CarryOut(ctx, order)
+		_ = faultyPort.handle.CarryOut(ctx, order)
 		return unknown
 	case faultLate:
-		port.delayed = append(port.delayed, func() { _ = port.handle.CarryOut(context.Background(), order) })
+		faultyPort.delayed = append(faultyPort.delayed, func() { _ = faultyPort.handle.CarryOut(context.Background(), order) })
 		return unknown
 	case faultRestart:
-		port.handle.Restart()
+		faultyPort.handle.Restart()
 		return unknown
 	}
-	return port.handle.CarryOut(ctx, order)
+	return faultyPort.handle.CarryOut(ctx, order)
 }
 
-func (port *faultyPort) deliverLate() {
-	port.mutex.Lock()
-	defer port.mutex.Unlock()
-	for _, deliver := range port.delayed {
+func (faultyPort *faultyPort) deliverLate() {
+	faultyPort.mutex.Lock()
+	defer faultyPort.mutex.Unlock()
+	for _, deliver := range faultyPort.delayed {
 		deliver()
 	}
-	port.delayed = nil
+	faultyPort.delayed = nil
 }
 
 type noWeights struct{}
@@ -108,7 +107,11 @@
 			t.Fatal(err)
 		}
 		expertMap.Version = version
-		if err := handle.CarryOut(t.Context(), cranberryward.Order{Kind: cranberryward.OrderPrepare, Map: expertMap, Version: version}); err != nil {
+		if err := handle.CarryOut(t.Context(), cranberryward.Order{
+			Kind:    cranberryward.OrderPrepare,
+			Map:     expertMap,
+			Version: version,
+		}); err != nil {
 			t.Fatal(err)
 		}
 		await(t, "rank has prepared", func() bool { return handle.State().HasPrepared(version) })
@@ -181,13 +184,22 @@
 			prepareAll(t, group, 2)
 			gate := group.Rank(0)
 			step := gate.State().Step + 3
-			order := cranberryward.Order{Kind: cranberryward.OrderHold, Step: step, Fencing: 9}
+			order := cranberryward.Order{
+				Kind:    cranberryward.OrderHold,
+				Step:    step,
+				Fencing: 9,
+			}
 			if err := gate.CarryOut(t.Context(), order); err != nil {
 				t.Fatal(err)
 			}
 			await(t, "the group is held", func() bool { return gate.State().Held })
 			for number := range switched {
-				order := cranberryward.Order{Kind: cranberryward.OrderSwitch, Step: step, Version: 2, Fencing: 9}
+				order := cranberryward.Order{
+					Kind:    cranberryward.OrderSwitch,
+					Step:    step,
+					Version: 2,
+					Fencing: 9,
+				}
 				if err := group.Rank(number).CarryOut(t.Context(), order); err != nil {
 					t.Fatal(err)
 				}
@@ -202,7 +214,12 @@
 			}
 			awaitSteps(t, group)
 			checkSteps(t, group.StepLog())
-			stale := cranberryward.Order{Kind: cranberryward.OrderSwitch, Step: step, Version: 2, Fencing: 9}
+			stale := cranberryward.Order{
+				Kind:    cranberryward.OrderSwitch,
+				Step:    step,
+				Version: 2,
+				Fencing: 9,
+			}
 			if err := group.Rank(3).CarryOut(t.Context(), stale); err == nil {
 				t.Error("a rank carried out an order of the earlier driver for a step that it had entered")
 			}
@@ -218,15 +235,29 @@
 	for number := range group.Ranks() {
 		ports = append(ports, &faultyPort{handle: group.Rank(number)})
 	}
-	change := switcher.Change{Fencing: 9, FromVersion: 1, ToVersion: 2, HoldMillis: 1000}
+	change := switcher.Change{
+		Fencing:     9,
+		FromVersion: 1,
+		ToVersion:   2,
+		HoldMillis:  1000,
+	}
 	first := switcher.New("calls", func() []switcher.Port { return ports }, log.NewNopLogger())
 	if _, err := first.Execute(t.Context(), change, func() error { return nil }); err != nil {
 		t.Fatal(err)
 	}
-	prepareAll3 := cranberryward.Order{Kind: cranberryward.OrderDiscard, Version: 1, Fencing: switcher.FencingOf(10)}
+	prepareAll3 := cranberryward.Order{
+		Kind:    cranberryward.OrderDiscard,
+		Version: 1,
+		Fencing: switcher.FencingOf(10),
+	}
 	_ = group.Rank(0).CarryOut(t.Context(), prepareAll3)
 	late := switcher.New("calls", func() []switcher.Port { return ports }, log.NewNopLogger())
-	_, err := late.Execute(t.Context(), switcher.Change{Fencing: 8, FromVersion: 2, ToVersion: 1, HoldMillis: 1000}, func() error { return nil })
+	_, err := late.Execute(t.Context(), switcher.Change{
+		Fencing:     8,
+		FromVersion: 2,
+		ToVersion:   1,
+		HoldMillis:  1000,
+	}, func() error { return nil })
 	if cranberryward.VerdictOf(err) != cranberryward.NotRun {
 		t.Fatalf("the driver with an old fencing number was not refused: %v", err)
 	}
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -76,16 +76,46 @@
 			key  string
 			want Doubt
 		}{
-			"made after the restart":                {key: keyAt(now.Add(-10 * time.Second)), want: DoubtNone},
-			"made before the restart":               {key: keyAt(now.Add(-2 * time.Minute)), want: DoubtEarlier},
-			"made within the clock error after it":  {key: keyAt(now.Add(-time.Minute).Add(testClockError)), want: DoubtEarlier},
-			"made ahead of the clock":               {key: keyAt(now.Add(time.Minute)), want: DoubtFuture},
-			"older than the retention":              {key: keyAt(now.Add(-24 * time.Hour)), want: DoubtEarlier},
-			"a key without a time":                  {key: "booking-17", want: DoubtClaim},
-			"a random UUID carries no time":         {key: "3f0e6a52-8f0b-4c57-9d5e-1f7a2b3c4d5e", want: DoubtClaim},
-			"a UUID of version 7 of a later year":   {key: "01890a5d-ac96-774b-bcce-b302099a8057", want: DoubtFuture},
-			"26 characters that are no ULID":        {key: "booking-booking-booking-ab", want: DoubtClaim},
-			"a ULID whose time cannot be plausible": {key: "00000000000000000000000000", want: DoubtClaim},
+			"made after the restart": {
+				key:  keyAt(now.Add(-10 * time.Second)),
+				want: DoubtNone,
+			},
+			"made before the restart": {
+				key:  keyAt(now.Add(-2 * time.Minute)),
+				want: DoubtEarlier,
+			},
+			"made within the clock error after it": {
+				key:  keyAt(now.Add(-time.Minute).Add(testClockError)),
+				want: DoubtEarlier,
+			},
+			"made ahead of the clock": {
+				key:  keyAt(now.Add(time.Minute)),
+				want: DoubtFuture,
+			},
+			"older than the retention": {
+				key:  keyAt(now.Add(-24 * time.Hour)),
+				want: DoubtEarlier,
+			},
+			"a key without a time": {
+				key:  "booking-17",
+				want: DoubtClaim,
+			},
+			"a random UUID carries no time": {
+				key:  "3f0e6a52-8f0b-4c57-9d5e-1f7a2b3c4d5e",
+				want: DoubtClaim,
+			},
+			"a UUID of version 7 of a later year": {
+				key:  "01890a5d-ac96-774b-bcce-b302099a8057",
+				want: DoubtFuture,
+			},
+			"26 characters that are no ULID": {
+				key:  "booking-booking-booking-ab",
+				want: DoubtClaim,
+			},
+			"a ULID whose time cannot be plausible": {
+				key:  "00000000000000000000000000",
+				want: DoubtClaim,
+			},
 		}
 		for name, test := range cases {
 			if got := authority.Doubt(test.key, now, defaultRetention); got != test.want {
--- a/framer/assembler_test.go
+++ b/framer/assembler_test.go
@@ -27,15 +27,48 @@
 		whole  bool
 		broken bool
 	}{
-		"in order":              {frames: []cranberryward.Frame{frame("r", 0, "ab", -1), frame("r", 2, "c", 3)}, want: "abc", whole: true},
-		"doubled frame":         {frames: []cranberryward.Frame{frame("r", 0, "ab", -1), frame("r", 0, "ab", -1), frame("r", 2, "c", 3)}, want: "abc", whole: true},
-		"overlapping resume":    {frames: []cranberryward.Frame{frame("r", 0, "abc", -1), frame("r", 1, "bcd", 4)}, want: "abcd", whole: true},
-		"cut off":               {frames: []cranberryward.Frame{frame("r", 0, "ab", -1)}, want: "ab"},
-		"reordered":             {frames: []cranberryward.Frame{frame("r", 2, "c", -1)}, broken: true},
-		"another request":       {frames: []cranberryward.Frame{frame("q", 0, "ab", 2)}, broken: true},
-		"end before the length": {frames: []cranberryward.Frame{frame("r", 0, "ab", 3)}, broken: true},
-		"text after the end":    {frames: []cranberryward.Frame{frame("r", 0, "ab", 2), frame("r", 2, "c", -1)}, want: "ab", whole: true, broken: true},
-		"repeated end":          {frames: []cranberryward.Frame{frame("r", 0, "ab", 2), frame("r", 0, "ab", 2)}, want: "ab", whole: true},
+		"in order": {
+			frames: []cranberryward.Frame{frame("r", 0, "ab", -1), frame("r", 2, "c", 3)},
+			want:   "abc",
+			whole:  true,
+		},
+		"doubled frame": {
+			frames: []cranberryward.Frame{frame("r", 0, "ab", -1), frame("r", 0, "ab", -1), frame("r", 2, "c", 3)},
+			want:   "abc",
+			whole:  true,
+		},
+		"overlapping resume": {
+			frames: []cranberryward.Frame{frame("r", 0, "abc", -1), frame("r", 1, "bcd", 4)},
+			want:   "abcd",
+			whole:  true,
+		},
+		"cut off": {
+			frames: []cranberryward.Frame{frame("r", 0, "ab", -1)},
+			want:   "ab",
+		},
+		"reordered": {
+			frames: []cranberryward.Frame{frame("r", 2, "c", -1)},
+			broken: true,
+		},
+		"another request": {
+			frames: []cranberryward.Frame{frame("q", 0, "ab", 2)},
+			broken: true,
+		},
+		"end before the length": {
+			frames: []cranberryward.Frame{frame("r", 0, "ab", 3)},
+			broken: true,
+		},
+		"text after the end": {
+			frames: []cranberryward.Frame{frame("r", 0, "ab", 2), frame("r", 2, "c", -1)},
+			want:   "ab",
+			whole:  true,
+			broken: true,
+		},
+		"repeated end": {
+			frames: []cranberryward.Frame{frame("r", 0, "ab", 2), frame("r", 0, "ab", 2)},
+			want:   "ab",
+			whole:  true,
+		},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/measure/plot.go
+++ b/measure/plot.go
@@ -28,8 +28,14 @@
 	for _, name := range names {
 		var skews, moves plotter.XYs
 		for _, point := range results[name].points {
-			skews = append(skews, plotter.XY{X: point.Second / secondsPerHour, Y: point.Skew})
-			moves = append(moves, plotter.XY{X: point.Second / secondsPerHour, Y: point.MovedGB})
+			skews = append(skews, plotter.XY{
+				X: point.Second / secondsPerHour,
+				Y: point.Skew,
+			})
+			moves = append(moves, plotter.XY{
+				X: point.Second / secondsPerHour,
+				Y: point.MovedGB,
+			})
 		}
 		skewLines = append(skewLines, name, skews)
 		if name != "greedy" {
@@ -48,7 +54,10 @@
 
 func writePlots(file string, skew, moved *plot.Plot) error {
 	canvas := vgsvg.New(plotWidth, plotHeight)
-	tiles := draw.Tiles{Rows: 2, Cols: 1}
+	tiles := draw.Tiles{
+		Rows: 2,
+		Cols: 1,
+	}
 	for row, drawn := range []*plot.Plot{skew, moved} {
 		drawn.Draw(tiles.At(draw.New(canvas), 0, row))
 	}
--- a/measure/routing.go
+++ b/measure/routing.go
@@ -34,9 +34,20 @@
 		rate      float64
 		admitting bool
 	}{
-		{name: "ordinary", rate: rate},
-		{name: "capacity", rate: capacityRate, admitting: true},
-		{name: "three-times", rate: overloadFactors * capacityRate, admitting: true},
+		{
+			name: "ordinary",
+			rate: rate,
+		},
+		{
+			name:      "capacity",
+			rate:      capacityRate,
+			admitting: true,
+		},
+		{
+			name:      "three-times",
+			rate:      overloadFactors * capacityRate,
+			admitting: true,
+		},
 	}
 	for _, load := range loads {
 		for _, name := range names {
--- a/measure/tracer/trace.go
+++ b/measure/tracer/trace.go
@@ -78,8 +78,26 @@
 		from, until = 21.0*3600, 31.0*3600
 	}
 	return []Shape{
-		{name: "today", ranks: 8, layers: 24, experts: 64, slots: 10, quietFrom: from, quietUntil: until, interval: 300},
-		{name: "target", ranks: 32, layers: 12, experts: 256, slots: 10, quietFrom: from, quietUntil: until, interval: 300},
+		{
+			name:       "today",
+			ranks:      8,
+			layers:     24,
+			experts:    64,
+			slots:      10,
+			quietFrom:  from,
+			quietUntil: until,
+			interval:   300,
+		},
+		{
+			name:       "target",
+			ranks:      32,
+			layers:     12,
+			experts:    256,
+			slots:      10,
+			quietFrom:  from,
+			quietUntil: until,
+			interval:   300,
+		},
 	}
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -99,19 +99,53 @@
 		change  func(situation *Situation)
 		keep    bool
 	}{
-		"loads changed":                  {reports: []Report{reportOf(after, 2)}},
-		"all reports missing":            {keep: true},
-		"report of zero":                 {reports: []Report{reportOf(make2(layers, experts, 0), 2)}, keep: true},
-		"report of absurd size":          {reports: []Report{reportOf(make2(layers, experts, 1e30), 2)}, keep: true},
-		"report that is not a number":    {reports: []Report{reportOf(make2(layers, experts, math.NaN()), 2)}, keep: true},
-		"report of the wrong shape":      {reports: []Report{reportOf(after[:1], 2)}, keep: true},
-		"frozen report":                  {reports: []Report{reportOf(after, 1)}, keep: true},
-		"quiet window open":              {reports: []Report{reportOf(after, 2)}, change: func(situation *Situation) { situation.Quiet = true }, keep: true},
-		"quiet window before the end":    {reports: []Report{reportOf(after, 2)}, change: func(situation *Situation) { situation.QuietFrom = situation.Second + 3 }, keep: true},
-		"no time for a byte of weights":  {reports: []Report{reportOf(after, 2)}, change: func(situation *Situation) { situation.QuietFrom = situation.Second + 6; situation.BytesPerSecond = 1 }, keep: true},
-		"no spare memory":                {reports: []Report{reportOf(after, 2)}, change: func(situation *Situation) { situation.Memory.SparePerRank = 0 }, keep: true},
-		"a rank lost":                    {change: func(situation *Situation) { situation.LostRanks = []bool{false, true, false, false} }},
-		"ranks left cannot hold experts": {change: func(situation *Situation) { situation.LostRanks = []bool{false, true, true, false} }, keep: true},
+		"loads changed":       {reports: []Report{reportOf(after, 2)}},
+		"all reports missing": {keep: true},
+		"report of zero": {
+			reports: []Report{reportOf(make2(layers, experts, 0), 2)},
+			keep:    true,
+		},
+		"report of absurd size": {
+			reports: []Report{reportOf(make2(layers, experts, 1e30), 2)},
+			keep:    true,
+		},
+		"report that is not a number": {
+			reports: []Report{reportOf(make2(layers, experts, math.NaN()), 2)},
+			keep:    true,
+		},
+		"report of the wrong shape": {
+			reports: []Report{reportOf(after[:1], 2)},
+			keep:    true,
+		},
+		"frozen report": {
+			reports: []Report{reportOf(after, 1)},
+			keep:    true,
+		},
+		"quiet window open": {
+			reports: []Report{reportOf(after, 2)},
+			change:  func(situation *Situation) { situation.Quiet = true },
+			keep:    true,
+		},
+		"quiet window before the end": {
+			reports: []Report{reportOf(after, 2)},
+			change:  func(situation *Situation) { situation.QuietFrom = situation.Second + 3 },
+			keep:    true,
+		},
+		"no time for a byte of weights": {
+			reports: []Report{reportOf(after, 2)},
+			change:  func(situation *Situation) { situation.QuietFrom = situation.Second + 6; situation.BytesPerSecond = 1 },
+			keep:    true,
+		},
+		"no spare memory": {
+			reports: []Report{reportOf(after, 2)},
+			change:  func(situation *Situation) { situation.Memory.SparePerRank = 0 },
+			keep:    true,
+		},
+		"a rank lost": {change: func(situation *Situation) { situation.LostRanks = []bool{false, true, false, false} }},
+		"ranks left cannot hold experts": {
+			change: func(situation *Situation) { situation.LostRanks = []bool{false, true, true, false} },
+			keep:   true,
+		},
 		"a rank lost in a quiet window": {change: func(situation *Situation) {
 			situation.LostRanks = []bool{true, false, false, false}
 			situation.Quiet = true
