--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := ./... ./agent/... ./cranberryward/... ./entry/... ./measure/... ./standin/...
+MODULES := ./... ./agent/... ./bench/... ./cranberryward/... ./entry/... ./measure/... ./standin/...
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 SEED ?= 1
 ROUNDS ?= 1
@@ -29,3 +29,14 @@
 
 measure:
 	go run ./measure --seed $(SEED) --deployment $(DEPLOYMENT)
+
+bench:
+	go test -run '^$$' -bench . -benchtime 500ms ./planner ./router
+	go run ./bench path
+
+slopes:
+	go run ./bench slopes
+	go test -run '^$$' -bench Decide -benchtime 500ms ./planner
+
+soak:
+	go test -count=1 -timeout 60m -v -run TestSoak ./cranberryward/prover -seed $(SEED) -rounds $(ROUNDS) -soak-seconds $(SECONDS)
--- /dev/null
+++ b/bench/launcher/fleet.go
@@ -0,0 +1,241 @@
+package launcher
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
+	"github.com/cranberryward/cranberryward/cranberryward/deployer"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	sharedKey    = "bench-key"
+	token        = "bench-token"
+	group        = "bench-group"
+	readyTimeout = 30 * time.Second
+	readyPoll    = 20 * time.Millisecond
+
+	// Service is the plain service of a fleet.
+	Service = "booking"
+	// Model is the model of a fleet.
+	Model = "assistant"
+)
+
+// Fleet is one entry with engines and plain services behind it, each its own process.
+type Fleet struct {
+	directory string
+	keyValue  string
+	list      string
+	weights   string
+	callers   string
+	admin     string
+	engines   []string
+	entry     *Process
+	agents    []*Process
+	others    []*Process
+}
+
+// Build builds the programs into a directory.
+func Build() (directory string, err error) {
+	directory, err = os.MkdirTemp("", "bench")
+	if err != nil {
+		return "", eris.Wrap(err, "make a directory for programs")
+	}
+	for _, program := range []string{"agent", "entry", "standin"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(directory, program), "github.com/cranberryward/cranberryward/"+program)
+		if output, err := build.CombinedOutput(); err != nil {
+			return "", eris.Wrapf(err, "build %s: %s", program, output)
+		}
+	}
+	return directory, nil
+}
+
+// Start starts a fleet with the given numbers of engines and plain services and waits until all are known.
+func Start(ctx context.Context, directory string, engines, services int) (*Fleet, error) {
+	fleet := &Fleet{
+		directory: directory,
+	}
+	if err := fleet.start(ctx, engines, services); err != nil {
+		fleet.Stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (fleet *Fleet) start(ctx context.Context, engines, services int) (err error) {
+	for kind, address := range map[string]*string{"keyvalue": &fleet.keyValue, "list": &fleet.list, "weights": &fleet.weights} {
+		if *address, err = fleet.standin(kind); err != nil {
+			return err
+		}
+	}
+	if err := fleet.startEntry(); err != nil {
+		return err
+	}
+	if err := fleet.startEngines(engines); err != nil {
+		return err
+	}
+	for number := range services {
+		backend, err := fleet.standin("service", "--name", Service)
+		if err != nil {
+			return err
+		}
+		if err := fleet.startAgent(fmt.Sprintf("service-%d", number), backend, "--role", "service", "--service", Service); err != nil {
+			return err
+		}
+	}
+	return fleet.awaitReady(ctx, engines+services+1)
+}
+
+func (fleet *Fleet) standin(kind string, arguments ...string) (string, error) {
+	address, err := deployer.FreeAddress()
+	if err != nil {
+		return "", err
+	}
+	process, err := startProcess(fleet.directory, "standin", append([]string{kind, "--listen", address}, arguments...)...)
+	if err != nil {
+		return "", err
+	}
+	fleet.others = append(fleet.others, process)
+	return address, awaitListening(address)
+}
+
+func awaitListening(address string) error {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		connection, err := net.Dial("tcp", address)
+		if err == nil {
+			return connection.Close()
+		}
+		if time.Now().After(deadline) {
+			return eris.Wrapf(err, "%s does not listen", address)
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+func (fleet *Fleet) common(id string) ([]string, string, error) {
+	addresses := make([]string, 2)
+	for i := range addresses {
+		address, err := deployer.FreeAddress()
+		if err != nil {
+			return nil, "", err
+		}
+		addresses[i] = address
+	}
+	return []string{"--id", id, "--zone", "zone-a", "--listen", addresses[0], "--peer-listen", addresses[1],
+		"--key-value", fleet.keyValue, "--instance-list", fleet.list, "--shared-key", sharedKey, "--log-level", "info"}, addresses[0], nil
+}
+
+func (fleet *Fleet) startEntry() error {
+	flags, callers, err := fleet.common("entry-0")
+	if err != nil {
+		return err
+	}
+	fleet.callers = callers
+	if fleet.admin, err = deployer.FreeAddress(); err != nil {
+		return err
+	}
+	digest := sha256.Sum256([]byte(token))
+	flags = append(flags, "--admin-listen", fleet.admin, "--services", Service+"=GET:/", "--tokens", "operator:"+hex.EncodeToString(digest[:]))
+	fleet.entry, err = startProcess(fleet.directory, "entry", flags...)
+	return err
+}
+
+func (fleet *Fleet) startEngines(engines int) error {
+	for range engines {
+		address, err := deployer.FreeAddress()
+		if err != nil {
+			return err
+		}
+		fleet.engines = append(fleet.engines, address)
+	}
+	process, err := startProcess(fleet.directory, "standin", "engine", "--listen", strings.Join(fleet.engines, ","), "--group", group,
+		"--model", Model, "--weights", fleet.weights, "--experts", "64", "--redundant", "64")
+	if err != nil {
+		return err
+	}
+	fleet.others = append(fleet.others, process)
+	for rank, address := range fleet.engines {
+		if err := awaitListening(address); err != nil {
+			return err
+		}
+		if err := fleet.startAgent(fmt.Sprintf("engine-%d", rank), address, "--role", "engine", "--group", group, "--rank", fmt.Sprint(rank), "--model", Model); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (fleet *Fleet) startAgent(id, backend string, flags ...string) error {
+	common, _, err := fleet.common(id)
+	if err != nil {
+		return err
+	}
+	process, err := startProcess(fleet.directory, "agent", append(append(common, "--backend", backend), flags...)...)
+	if err != nil {
+		return err
+	}
+	fleet.agents = append(fleet.agents, process)
+	return nil
+}
+
+func (fleet *Fleet) awaitReady(ctx context.Context, processes int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		zones, err := fleet.Administrator().Zones(ctx, 0, 0)
+		if err == nil && len(zones) == 1 && zones[0].InForce && zones[0].Listed == processes {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return eris.Errorf("fleet did not get ready: %+v %v", zones, err)
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+// Stop ends every process of the fleet.
+func (fleet *Fleet) Stop() {
+	processes := append(append([]*Process{}, fleet.agents...), fleet.others...)
+	if fleet.entry != nil {
+		processes = append(processes, fleet.entry)
+	}
+	for _, process := range processes {
+		process.Stop()
+	}
+}
+
+// Administrator returns a client of the entry's administration interface.
+func (fleet *Fleet) Administrator() *administrator.Client {
+	return administrator.New(fleet.admin, token)
+}
+
+// Callers returns the address for callers.
+func (fleet *Fleet) Callers() string { return fleet.callers }
+
+// AdminAddress returns the administration address.
+func (fleet *Fleet) AdminAddress() string { return fleet.admin }
+
+// Token returns the administration token.
+func (fleet *Fleet) Token() string { return token }
+
+// KeyValue returns the address of the key-value service.
+func (fleet *Fleet) KeyValue() string { return fleet.keyValue }
+
+// Engine returns the address of an engine.
+func (fleet *Fleet) Engine(rank int) string { return fleet.engines[rank] }
+
+// Entry returns the entry's process.
+func (fleet *Fleet) Entry() *Process { return fleet.entry }
+
+// Agents returns the agents' processes.
+func (fleet *Fleet) Agents() []*Process { return fleet.agents }
--- /dev/null
+++ b/bench/launcher/process.go
@@ -0,0 +1,79 @@
+package launcher
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	ticksPerSecond = 100
+	userTimeField  = 11
+	pageKilobytes  = 1 << 10
+)
+
+// Process is one program that was started.
+type Process struct {
+	command *exec.Cmd
+}
+
+// Usage is what a process has used.
+type Usage struct {
+	processor time.Duration
+	resident  int64
+}
+
+// Processor returns the processor time used since the start.
+func (usage Usage) Processor() time.Duration { return usage.processor }
+
+// Resident returns the resident memory in bytes.
+func (usage Usage) Resident() int64 { return usage.resident }
+
+func startProcess(directory, program string, arguments ...string) (*Process, error) {
+	command := exec.Command(filepath.Join(directory, program), arguments...)
+	if err := command.Start(); err != nil {
+		return nil, eris.Wrapf(err, "start %s", program)
+	}
+	return &Process{
+		command: command,
+	}, nil
+}
+
+// Usage returns what the process has used, as the kernel accounts it.
+func (process *Process) Usage() (Usage, error) {
+	root := fmt.Sprintf("/proc/%d/", process.command.Process.Pid)
+	stat, err := os.ReadFile(root + "stat")
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "read processor time")
+	}
+	_, after, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(after)
+	user, _ := strconv.ParseInt(fields[userTimeField], 10, 64)
+	system, _ := strconv.ParseInt(fields[userTimeField+1], 10, 64)
+	status, err := os.ReadFile(root + "status")
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "read memory")
+	}
+	usage := Usage{
+		processor: time.Duration(user+system) * time.Second / ticksPerSecond,
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kilobytes, _ := strconv.ParseInt(fields[1], 10, 64)
+			usage.resident = kilobytes * pageKilobytes
+		}
+	}
+	return usage, nil
+}
+
+// Stop ends the process and waits for its end.
+func (process *Process) Stop() {
+	_ = process.command.Process.Kill()
+	_ = process.command.Wait()
+}
--- /dev/null
+++ b/bench/path.go
@@ -0,0 +1,287 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/bench/launcher"
+	"github.com/cranberryward/cranberryward/dialer"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	pathEngines     = 16
+	pathServices    = 3
+	pairs           = 400
+	callers         = 24
+	requestsEach    = 40
+	fewTokens       = 10
+	manyTokens      = 110
+	idleTime        = 8 * time.Second
+	highestMicros   = 60_000_000
+	histogramDigits = 3
+)
+
+func print(name string, value float64, unit string) {
+	fmt.Printf("path\t%s\t%.3f\t%s\n", name, value, unit)
+}
+
+func measurePath(ctx context.Context, directory string) error {
+	fleet, err := launcher.Start(ctx, directory, pathEngines, pathServices)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	if err := measureIdle(fleet); err != nil {
+		return err
+	}
+	if err := measureLatency(ctx, fleet); err != nil {
+		return err
+	}
+	return measureProcessor(ctx, fleet)
+}
+
+func generate(ctx context.Context, fleet *launcher.Fleet, tokens, number int) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"prompt":"caller %d"}`, launcher.Model, tokens, number)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fleet.Callers()+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "send request")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil || !strings.Contains(string(data), "[DONE]") {
+		return eris.Errorf("answer is not whole: %d %s", response.StatusCode, data)
+	}
+	return nil
+}
+
+var client = &http.Client{Transport: dialer.NewTransport()}
+
+func measureLatency(ctx context.Context, fleet *launcher.Fleet) error {
+	direct := hdrhistogram.New(1, highestMicros, histogramDigits)
+	whole := hdrhistogram.New(1, highestMicros, histogramDigits)
+	engine := dialer.NewEngine(fleet.Engine(0))
+	for number := range pairs {
+		started := time.Now()
+		err := engine.Generate(ctx, cranberryward.GenerateRequest{
+			RequestID: fmt.Sprintf("direct-%d", number),
+			Model:     launcher.Model,
+			Prompt:    fmt.Sprintf("caller %d", number),
+			MaxTokens: 1,
+		}, func(cranberryward.Frame) error { return nil })
+		if err != nil {
+			return err
+		}
+		_ = direct.RecordValue(time.Since(started).Microseconds())
+		started = time.Now()
+		if err := generate(ctx, fleet, 1, number); err != nil {
+			return err
+		}
+		_ = whole.RecordValue(time.Since(started).Microseconds())
+	}
+	for _, quantile := range []float64{50, 99} {
+		print(fmt.Sprintf("direct_p%.0f", quantile), float64(direct.ValueAtQuantile(quantile)), "us")
+		print(fmt.Sprintf("through_p%.0f", quantile), float64(whole.ValueAtQuantile(quantile)), "us")
+		print(fmt.Sprintf("added_p%.0f", quantile), float64(whole.ValueAtQuantile(quantile)-direct.ValueAtQuantile(quantile)), "us")
+	}
+	return nil
+}
+
+// used returns the processor time of the entry and of all agents.
+func used(fleet *launcher.Fleet) (entry, agents time.Duration, err error) {
+	usage, err := fleet.Entry().Usage()
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, agent := range fleet.Agents() {
+		one, err := agent.Usage()
+		if err != nil {
+			return 0, 0, err
+		}
+		agents += one.Processor()
+	}
+	return usage.Processor(), agents, nil
+}
+
+func burst(ctx context.Context, fleet *launcher.Fleet, tokens int) (entry, agents time.Duration, err error) {
+	entryBefore, agentsBefore, err := used(fleet)
+	if err != nil {
+		return 0, 0, err
+	}
+	var group sync.WaitGroup
+	failures := make([]error, callers)
+	for number := range callers {
+		group.Go(func() {
+			for turn := range requestsEach {
+				if err := generate(ctx, fleet, tokens, number*requestsEach+turn); err != nil {
+					failures[number] = err
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, failure := range failures {
+		if failure != nil {
+			return 0, 0, failure
+		}
+	}
+	entryAfter, agentsAfter, err := used(fleet)
+	return entryAfter - entryBefore, agentsAfter - agentsBefore, err
+}
+
+func measureProcessor(ctx context.Context, fleet *launcher.Fleet) error {
+	before, err := counters(fleet)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	fewEntry, fewAgents, err := burst(ctx, fleet, fewTokens)
+	if err != nil {
+		return err
+	}
+	manyEntry, manyAgents, err := burst(ctx, fleet, manyTokens)
+	if err != nil {
+		return err
+	}
+	after, err := counters(fleet)
+	if err != nil {
+		return err
+	}
+	requests := float64(callers * requestsEach)
+	report := func(role string, few, many time.Duration) {
+		token := float64((many - few).Microseconds()) / requests / (manyTokens - fewTokens)
+		print(role+"_processor_per_token", token, "us")
+		print(role+"_processor_per_request", float64(few.Microseconds())/requests-token*fewTokens, "us")
+	}
+	report("entry", fewEntry, manyEntry)
+	report("agents", fewAgents, manyAgents)
+	seconds := time.Since(started).Seconds()
+	print("key_value_calls_under_load", float64(after-before)/seconds, "calls/s")
+	print("requests_under_load", 2*requests/seconds, "requests/s")
+	return nil
+}
+
+func counters(fleet *launcher.Fleet) (calls uint64, err error) {
+	response, err := client.Get("http://" + fleet.KeyValue() + "/counters")
+	if err != nil {
+		return 0, eris.Wrap(err, "read counters")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var counts map[string]uint64
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		return 0, eris.Wrap(err, "read counters")
+	}
+	for _, count := range counts {
+		calls += count
+	}
+	return calls, nil
+}
+
+// controlBytes returns the bytes of control messages that the entry received and sent.
+func controlBytes(fleet *launcher.Fleet) (int64, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+fleet.AdminAddress()+"/debug/vars", nil)
+	if err != nil {
+		return 0, eris.Wrap(err, "make request")
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.Token())
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, eris.Wrap(err, "read metrics")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var vars struct {
+		Control struct {
+			Received int64 `json:"control_bytes_received"`
+			Sent     int64 `json:"control_bytes_sent"`
+		} `json:"control"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&vars); err != nil {
+		return 0, eris.Wrap(err, "read metrics")
+	}
+	return vars.Control.Received + vars.Control.Sent, nil
+}
+
+// idle is what a fleet uses while no request is sent.
+type idle struct {
+	entryShare  float64
+	agentShare  float64
+	entryMemory float64
+	agentMemory float64
+	entryBytes  float64
+	calls       float64
+}
+
+func observeIdle(fleet *launcher.Fleet, lasting time.Duration) (idle, error) {
+	var seen idle
+	entryBefore, agentsBefore, err := used(fleet)
+	if err != nil {
+		return seen, err
+	}
+	bytesBefore, err := controlBytes(fleet)
+	if err != nil {
+		return seen, err
+	}
+	callsBefore, err := counters(fleet)
+	if err != nil {
+		return seen, err
+	}
+	time.Sleep(lasting)
+	entryAfter, agentsAfter, err := used(fleet)
+	if err != nil {
+		return seen, err
+	}
+	bytesAfter, err := controlBytes(fleet)
+	if err != nil {
+		return seen, err
+	}
+	callsAfter, err := counters(fleet)
+	if err != nil {
+		return seen, err
+	}
+	entry, err := fleet.Entry().Usage()
+	if err != nil {
+		return seen, err
+	}
+	agent, err := fleet.Agents()[0].Usage()
+	if err != nil {
+		return seen, err
+	}
+	seconds := lasting.Seconds()
+	return idle{
+		entryShare:  (entryAfter - entryBefore).Seconds() / seconds,
+		agentShare:  (agentsAfter - agentsBefore).Seconds() / seconds / float64(len(fleet.Agents())),
+		entryMemory: float64(entry.Resident()),
+		agentMemory: float64(agent.Resident()),
+		entryBytes:  float64(bytesAfter-bytesBefore) / seconds,
+		calls:       float64(callsAfter-callsBefore) / seconds,
+	}, nil
+}
+
+func measureIdle(fleet *launcher.Fleet) error {
+	time.Sleep(2 * time.Second)
+	seen, err := observeIdle(fleet, idleTime)
+	if err != nil {
+		return err
+	}
+	backends := float64(pathEngines + pathServices)
+	print("entry_idle_processor", 100*seen.entryShare, "% of a core")
+	print("agent_idle_processor", 100*seen.agentShare, "% of a core")
+	print("entry_memory", seen.entryMemory/1e6, "MB")
+	print("agent_memory", seen.agentMemory/1e6, "MB")
+	print("entry_control", seen.entryBytes, "bytes/s")
+	print("agent_control", seen.entryBytes/backends, "bytes/s")
+	print("key_value_calls_idle", seen.calls, "calls/s")
+	return nil
+}
--- /dev/null
+++ b/bench/slopes.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/bench/launcher"
+	"github.com/oklog/ulid/v2"
+	"gonum.org/v1/gonum/stat"
+)
+
+const (
+	slopeIdle    = 4 * time.Second
+	slopeSettle  = time.Second
+	slopeEngines = 4
+)
+
+// series is one quantity at several sizes.
+type series struct {
+	role, quantity, unit string
+	xs, ys               []float64
+}
+
+func (series *series) add(x, y float64) {
+	series.xs = append(series.xs, x)
+	series.ys = append(series.ys, y)
+}
+
+// print writes the points and the line through them, with the largest distance of a point from it.
+func (series *series) print(against string) {
+	intercept, slope := stat.LinearRegression(series.xs, series.ys, nil, false)
+	worst := 0.0
+	for i, x := range series.xs {
+		worst = math.Max(worst, math.Abs(series.ys[i]-intercept-slope*x))
+		fmt.Printf("point\t%s\t%s\t%s\t%g\t%.4f\t%s\n", series.role, series.quantity, against, x, series.ys[i], series.unit)
+	}
+	fmt.Printf("slope\t%s\t%s\t%s\t%.4f\t%.6f\t%.4f\t%s\n", series.role, series.quantity, against, intercept, slope, worst, series.unit)
+}
+
+type collection struct {
+	all []*series
+}
+
+func newCollection() *collection {
+	collection := &collection{}
+	for _, quantity := range []struct{ role, name, unit string }{
+		{"entry", "memory", "MB"}, {"entry", "processor", "% of a core"}, {"entry", "control", "bytes/s"},
+		{"agent", "memory", "MB"}, {"agent", "processor", "% of a core"}, {"platform", "key_value_calls", "calls/s"},
+	} {
+		collection.all = append(collection.all, &series{
+			role:     quantity.role,
+			quantity: quantity.name,
+			unit:     quantity.unit,
+		})
+	}
+	return collection
+}
+
+func (collection *collection) add(x float64, seen idle) {
+	for i, y := range []float64{seen.entryMemory / 1e6, 100 * seen.entryShare, seen.entryBytes, seen.agentMemory / 1e6, 100 * seen.agentShare, seen.calls} {
+		collection.all[i].add(x, y)
+	}
+}
+
+func (collection *collection) print(against string) {
+	for _, series := range collection.all {
+		series.print(against)
+	}
+}
+
+func measureSlopes(ctx context.Context, directory string) error {
+	if err := slopeBackends(ctx, directory); err != nil {
+		return err
+	}
+	if err := slopeWorkspaces(ctx, directory); err != nil {
+		return err
+	}
+	return slopeChanges(ctx, directory)
+}
+
+func slopeBackends(ctx context.Context, directory string) error {
+	collection := newCollection()
+	for _, engines := range []int{4, 8, 16, 32} {
+		fleet, err := launcher.Start(ctx, directory, engines, 1)
+		if err != nil {
+			return err
+		}
+		time.Sleep(slopeSettle)
+		seen, err := observeIdle(fleet, slopeIdle)
+		fleet.Stop()
+		if err != nil {
+			return err
+		}
+		collection.add(float64(engines), seen)
+	}
+	collection.print("backend_servers")
+	return nil
+}
+
+func slopeWorkspaces(ctx context.Context, directory string) error {
+	fleet, err := launcher.Start(ctx, directory, slopeEngines, 1)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	collection := newCollection()
+	for _, workspaces := range []int{100, 2000, 6000, 12000} {
+		sheet := cranberryward.Sheet{}
+		for number := range workspaces {
+			sheet.Priorities = append(sheet.Priorities, cranberryward.WorkspacePriority{
+				Workspace: fmt.Sprintf("workspace-%06d", number),
+				Priority:  number % 10,
+			})
+		}
+		configuration, err := fleet.Administrator().Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = fleet.Administrator().Submit(ctx, cranberryward.Submission{
+			ID:           ulid.Make().String(),
+			Kind:         cranberryward.SubmitSheet,
+			BaseRevision: configuration.Revision,
+			Sheet:        &sheet,
+		})
+		if err != nil {
+			return err
+		}
+		time.Sleep(slopeSettle)
+		seen, err := observeIdle(fleet, slopeIdle)
+		if err != nil {
+			return err
+		}
+		collection.add(float64(workspaces), seen)
+	}
+	collection.print("workspaces")
+	return nil
+}
+
+func slopeChanges(ctx context.Context, directory string) error {
+	fleet, err := launcher.Start(ctx, directory, slopeEngines, 1)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	collection := newCollection()
+	for _, perSecond := range []int{0, 2, 5, 10} {
+		changing, stop := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			submitEvery(changing, fleet, perSecond)
+		}()
+		seen, err := observeIdle(fleet, slopeIdle)
+		stop()
+		<-done
+		if err != nil {
+			return err
+		}
+		collection.add(float64(perSecond), seen)
+	}
+	collection.print("changes_per_second")
+	return nil
+}
+
+func submitEvery(ctx context.Context, fleet *launcher.Fleet, perSecond int) {
+	if perSecond == 0 {
+		return
+	}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		id := ulid.Make().String()
+		_, _ = fleet.Administrator().Submit(ctx, cranberryward.Submission{
+			ID:   id,
+			Kind: cranberryward.SubmitCorrection,
+			Correction: &cranberryward.Correction{
+				ID:      id,
+				Kind:    cranberryward.CorrectPriority,
+				Name:    "tutors",
+				Value:   "7",
+				Expires: time.Now().Add(time.Minute),
+			},
+		})
+	}
+}
--- a/entry/server/callers.go
+++ b/entry/server/callers.go
@@ -104,7 +104,9 @@
 	return call, nil
 }
 
-func (call callContext) left() time.Duration { return call.deadline - time.Since(call.started) }
+func (callContext callContext) left() time.Duration {
+	return callContext.deadline - time.Since(callContext.started)
+}
 
 func (entry *entry) handleModels(writer http.ResponseWriter, _ *http.Request) {
 	models := []map[string]string{}
--- a/message_engine.go
+++ b/message_engine.go
@@ -72,8 +72,8 @@
 }
 
 // HasPrepared returns whether the weights of the expert map version are loaded.
-func (state RankState) HasPrepared(version uint64) bool {
-	for _, prepared := range state.Prepared {
+func (rankState RankState) HasPrepared(version uint64) bool {
+	for _, prepared := range rankState.Prepared {
 		if prepared == version {
 			return true
 		}
--- a/message_error.go
+++ b/message_error.go
@@ -38,8 +38,8 @@
 }
 
 // Failure returns the failure that the message stands for.
-func (message ErrorMessage) Failure() *Failure {
-	return NewFailure(ParseVerdict(message.Error.Verdict), message.Error.Code, message.Error.Message).
-		WithResend(message.Error.Resend).
-		WithRetryAfter(time.Duration(message.Error.RetryAfterMS) * time.Millisecond)
+func (errorMessage ErrorMessage) Failure() *Failure {
+	return NewFailure(ParseVerdict(errorMessage.Error.Verdict), errorMessage.Error.Code, errorMessage.Error.Message).
+		WithResend(errorMessage.Error.Resend).
+		WithRetryAfter(time.Duration(errorMessage.Error.RetryAfterMS) * time.Millisecond)
 }
--- a/standin/engineserver/cache.go
+++ b/standin/engineserver/cache.go
@@ -23,35 +23,35 @@
 	}
 }
 
-func (cache *blockCache) hit(blocks []uint64) int {
+func (blockCache *blockCache) hit(blocks []uint64) int {
 	for i, block := range blocks {
-		if _, ok := cache.blocks[block]; !ok {
+		if _, ok := blockCache.blocks[block]; !ok {
 			return i
 		}
 	}
 	return len(blocks)
 }
 
-func (cache *blockCache) store(blocks []uint64) (removed []uint64) {
+func (blockCache *blockCache) store(blocks []uint64) (removed []uint64) {
 	for _, block := range blocks {
-		if element, ok := cache.blocks[block]; ok {
-			cache.order.MoveToFront(element)
+		if element, ok := blockCache.blocks[block]; ok {
+			blockCache.order.MoveToFront(element)
 			continue
 		}
-		cache.blocks[block] = cache.order.PushFront(block)
+		blockCache.blocks[block] = blockCache.order.PushFront(block)
 	}
-	for cache.order.Len() > cache.capacity {
-		last := cache.order.Back()
-		block := cache.order.Remove(last).(uint64)
-		delete(cache.blocks, block)
+	for blockCache.order.Len() > blockCache.capacity {
+		last := blockCache.order.Back()
+		block := blockCache.order.Remove(last).(uint64)
+		delete(blockCache.blocks, block)
 		removed = append(removed, block)
 	}
 	return removed
 }
 
-func (cache *blockCache) all() []uint64 {
-	blocks := make([]uint64, 0, len(cache.blocks))
-	for block := range cache.blocks {
+func (blockCache *blockCache) all() []uint64 {
+	blocks := make([]uint64, 0, len(blockCache.blocks))
+	for block := range blockCache.blocks {
 		blocks = append(blocks, block)
 	}
 	return blocks
@@ -67,30 +67,30 @@
 	events   []timedEvent
 }
 
-func (log *eventLog) add(rank *Rank, stored, removed []uint64) {
+func (eventLog *eventLog) add(rank *Rank, stored, removed []uint64) {
 	if len(stored) == 0 && len(removed) == 0 {
 		return
 	}
-	log.sequence++
+	eventLog.sequence++
 	if rank.random.Float64() < rank.faults.EventLoss {
 		return
 	}
-	log.events = append(log.events, timedEvent{
+	eventLog.events = append(eventLog.events, timedEvent{
 		at: time.Now(),
 		event: cranberryward.CacheEvent{
-			Sequence: log.sequence,
+			Sequence: eventLog.sequence,
 			Stored:   stored,
 			Removed:  removed,
 		},
 	})
-	if len(log.events) > maxEvents {
-		log.events = log.events[1:]
+	if len(eventLog.events) > maxEvents {
+		eventLog.events = eventLog.events[1:]
 	}
 }
 
-func (log *eventLog) after(sequence uint64, horizon time.Time) (events []cranberryward.CacheEvent, last uint64, gap bool) {
+func (eventLog *eventLog) after(sequence uint64, horizon time.Time) (events []cranberryward.CacheEvent, last uint64, gap bool) {
 	last = sequence
-	for _, timed := range log.events {
+	for _, timed := range eventLog.events {
 		if timed.event.Sequence <= sequence || timed.at.After(horizon) {
 			continue
 		}
@@ -100,5 +100,5 @@
 		events = append(events, timed.event)
 		last = timed.event.Sequence
 	}
-	return events, last, sequence > log.sequence
+	return events, last, sequence > eventLog.sequence
 }
