Read the zones anew for a submission, and share what stood twice

Cause: the command tests were told "no entry is listed" for five seconds after a start, because a submission used a list of zones kept from before the entries had registered; the library of flags took the command version for its own and ended the process.

Ruled out: a shorter life of the kept list (the same fault, more rarely).

--- a/agent/homekeeper/keeper.go
+++ b/agent/homekeeper/keeper.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/deduplicator"
+	"github.com/cranberryward/cranberryward/waiter"
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 )
@@ -86,18 +87,11 @@
 	go keeper.runList(ctx)
 	for ctx.Err() == nil {
 		if err := keeper.follow(ctx); err != nil {
-			pause(ctx, retryDelay)
+			waiter.Pause(ctx, retryDelay)
 		}
 	}
 }
 
-func pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
-
 func (keeper *Keeper) follow(ctx context.Context) error {
 	wait := keeper.settings.Lifetime / waitDivisor
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -141,7 +135,7 @@
 func (keeper *Keeper) runList(ctx context.Context) {
 	for ctx.Err() == nil {
 		keeper.readList(ctx)
-		pause(ctx, listPeriod)
+		waiter.Pause(ctx, listPeriod)
 	}
 }
 
@@ -221,7 +215,7 @@
 		if successor, found := keeper.successor(); found || ctx.Err() != nil {
 			return successor, found
 		}
-		pause(ctx, retryDelay)
+		waiter.Pause(ctx, retryDelay)
 	}
 }
 
@@ -300,7 +294,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, retryDelay)
+		waiter.Pause(ctx, retryDelay)
 		_ = keeper.follow(ctx)
 	}
 }
--- a/agent/server/drain.go
+++ b/agent/server/drain.go
@@ -8,7 +8,9 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/charter"
+	"github.com/cranberryward/cranberryward/distributor"
 	"github.com/cranberryward/cranberryward/messenger"
+	"github.com/cranberryward/cranberryward/waiter"
 	"github.com/go-kit/log"
 )
 
@@ -19,11 +21,10 @@
 	eventEmpty     = charter.Event("empty")
 	eventTimeLimit = charter.Event("time_limit")
 
-	leavingPoll      = 250 * time.Millisecond
-	handOverTimeout  = 2 * time.Second
-	deregisterWithin = time.Second
-	balancePeriod    = 2 * time.Second
-	settlePoll       = 10 * time.Millisecond
+	leavingPoll     = 250 * time.Millisecond
+	handOverTimeout = 2 * time.Second
+	balancePeriod   = 2 * time.Second
+	settlePoll      = 10 * time.Millisecond
 )
 
 var drainChart = charter.MustLoad("drain", eventLeave, eventReturn, eventStop, eventEmpty, eventTimeLimit)
@@ -140,10 +141,8 @@
 	if agent.keeper != nil {
 		agent.handOver(ctx, agent.keeper.Own())
 	}
-	deregister, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterWithin)
-	defer cancel()
-	_ = agent.list.Deregister(deregister, agent.instance.ID)
-	pause(ctx, agent.settings.StopGrace)
+	distributor.Deregister(ctx, agent.list, agent.instance)
+	waiter.Pause(ctx, agent.settings.StopGrace)
 	_ = agent.requests.Stop(ctx)
 	agent.peers.Stop()
 	_ = agent.logger.Log("event", "stopped")
@@ -155,7 +154,7 @@
 		if excess := agent.keeper.Excess(); len(excess) > 0 && !agent.drain.isDraining() {
 			agent.handOver(ctx, excess)
 		}
-		pause(ctx, balancePeriod)
+		waiter.Pause(ctx, balancePeriod)
 	}
 }
 
@@ -195,7 +194,7 @@
 		if ctx.Err() != nil || time.Now().After(deadline) {
 			return false
 		}
-		pause(ctx, settlePoll)
+		waiter.Pause(ctx, settlePoll)
 	}
 	return true
 }
--- a/agent/server/health.go
+++ b/agent/server/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/waiter"
 )
 
 const (
@@ -70,6 +71,6 @@
 		if agent.health.isDown() {
 			period = downPeriod
 		}
-		pause(ctx, period)
+		waiter.Pause(ctx, period)
 	}
 }
--- a/agent/server/ports.go
+++ b/agent/server/ports.go
@@ -10,6 +10,7 @@
 	"github.com/cranberryward/cranberryward/dialer"
 	"github.com/cranberryward/cranberryward/messenger"
 	"github.com/cranberryward/cranberryward/switcher"
+	"github.com/cranberryward/cranberryward/waiter"
 )
 
 const (
@@ -127,6 +128,6 @@
 			_ = agent.switcher.RestoreRanks(restore, agent.recordedMap)
 			cancel()
 		}
-		pause(ctx, maintainPeriod)
+		waiter.Pause(ctx, maintainPeriod)
 	}
 }
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -21,11 +21,10 @@
 )
 
 const (
-	startTimeout   = 10 * time.Second
-	registerPeriod = 500 * time.Millisecond
-	startLimit     = 16
-	minimumLimit   = 2
-	maximumLimit   = 512
+	startTimeout = 10 * time.Second
+	startLimit   = 16
+	minimumLimit = 2
+	maximumLimit = 512
 )
 
 // Server is a running agent.
@@ -185,7 +184,7 @@
 	agent.peers.Start()
 	requests.Start()
 	go agent.follower.Run(agent.background)
-	go agent.register(agent.background)
+	go distributor.Register(agent.background, agent.list, agent.instance)
 	go agent.watchLeaving(agent.background)
 	if agent.keeper != nil {
 		go agent.keeper.Run(agent.background)
@@ -200,26 +199,6 @@
 	return nil
 }
 
-// register adds this life of the instance to the platform's list, trying until the list answers.
-func (agent *agent) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		attempt, cancel := context.WithTimeout(ctx, registerPeriod*4)
-		err := agent.list.Register(attempt, agent.instance)
-		cancel()
-		if err == nil {
-			return
-		}
-		pause(ctx, registerPeriod)
-	}
-}
-
-func pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
-
 // Start brings the agent up.
 func (server *Server) Start(ctx context.Context) error { return server.app.Start(ctx) }
 
--- a/cranberryward/commander/root.go
+++ b/cranberryward/commander/root.go
@@ -12,7 +12,10 @@
 func Run(ctx context.Context, factory *Factory, arguments []string, commands ...*Command) ExitCode {
 	parser := flaggy.NewParser("cranberryward")
 	parser.Description = "Feeds the morning sheet and corrections to cranberryward and shows what is in force."
-	parser.Version = cranberryward.Version
+	// The library would take the version command for its own flag and end the process.
+	parser.ShowVersionWithVersionFlag = false
+	showVersion := false
+	parser.Bool(&showVersion, "", "version", "Print the version")
 	parser.String(&factory.address, "", "address", "Administration address of an entry (environment "+addressVariable+")")
 	parser.String(&factory.token, "", "token", "Administration token (environment "+tokenVariable+")")
 	for _, command := range commands {
@@ -22,6 +25,10 @@
 		_, _ = fmt.Fprintln(factory.streams.errors, err)
 		return ExitUsage
 	}
+	if showVersion {
+		factory.streams.Printf("cranberryward %s", cranberryward.Version)
+		return ExitDone
+	}
 	for _, command := range commands {
 		if used := command.used(); used != nil {
 			return used.execute(ctx, factory, parser)
--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/caller"
 	"github.com/cranberryward/cranberryward/configurer"
+	"github.com/cranberryward/cranberryward/waiter"
 	"github.com/go-kit/log"
 )
 
@@ -75,18 +76,11 @@
 	}
 	for ctx.Err() == nil {
 		if !follower.round(ctx) {
-			pause(ctx, retryDelay)
+			waiter.Pause(ctx, retryDelay)
 		}
 	}
 }
 
-func pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
-
 func (follower *Follower) round(ctx context.Context) (advanced bool) {
 	membership := follower.holder.Membership()
 	root := follower.entry && IsRoot(membership, follower.zone, follower.id)
@@ -191,7 +185,7 @@
 func (follower *Follower) runMembership(ctx context.Context) {
 	for ctx.Err() == nil {
 		follower.refreshMembership(ctx)
-		pause(ctx, membershipEvery)
+		waiter.Pause(ctx, membershipEvery)
 	}
 }
 
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,36 +1,21 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cranberryward/cranberryward/entry/server"
-	"github.com/cranberryward/cranberryward/logger"
+	"github.com/cranberryward/cranberryward/runner"
+	"github.com/go-kit/log"
 )
 
-const exitFailure = 1
-
-func main() { os.Exit(run()) }
-
-func run() int {
+func main() {
 	var settings server.Settings
-	if code, ok := settings.Loader().Main(); !ok {
-		return code
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	log := logger.New(os.Stderr, "entry", settings.ID, settings.Zone, settings.LogLevel)
-	entry := server.New(settings, log)
-	if err := entry.Start(ctx); err != nil {
-		_ = log.Log("event", "start_failed", "error", err)
-		return exitFailure
-	}
-	<-ctx.Done()
-	if err := entry.Stop(context.Background()); err != nil {
-		_ = log.Log("event", "stop_failed", "error", err)
-		return exitFailure
-	}
-	return 0
+	os.Exit(runner.Run(settings.Loader(), func() runner.Identity {
+		return runner.Identity{
+			Program:  "entry",
+			Instance: settings.ID,
+			Zone:     settings.Zone,
+			LogLevel: settings.LogLevel,
+		}
+	}, func(logger log.Logger) runner.Server { return server.New(settings, logger) }))
 }
--- a/entry/server/dispatch.go
+++ b/entry/server/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/cranberryward/cranberryward/pool"
 	"github.com/cranberryward/cranberryward/quarantiner"
 	"github.com/cranberryward/cranberryward/router"
+	"github.com/cranberryward/cranberryward/waiter"
 )
 
 const (
@@ -220,7 +221,7 @@
 		if cranberryward.FailureOf(resumeErr).Reason() == cranberryward.ReasonNotFound {
 			return nil, err
 		}
-		pause(ctx, resumeDelay)
+		waiter.Pause(ctx, resumeDelay)
 	}
 	return nil, err
 }
@@ -270,7 +271,7 @@
 
 // elsewhere returns a backend server of another zone.
 func (entry *entry) elsewhere(ctx context.Context, forbidden func(id string) bool, wanted func(cranberryward.Instance) bool) (cranberryward.Instance, bool) {
-	membership, err := entry.allZones(ctx)
+	membership, err := entry.allZones(ctx, zoneCacheAge)
 	if err != nil {
 		return cranberryward.Instance{}, false
 	}
--- a/entry/server/plain.go
+++ b/entry/server/plain.go
@@ -15,6 +15,7 @@
 	"github.com/cranberryward/cranberryward/pool"
 	"github.com/cranberryward/cranberryward/quarantiner"
 	"github.com/cranberryward/cranberryward/router"
+	"github.com/cranberryward/cranberryward/waiter"
 	"github.com/gorilla/mux"
 )
 
@@ -271,7 +272,7 @@
 			return cranberryward.ServiceAnswer{}, plainCall.honest(err)
 		}
 		plainCall.entry.refreshHomes(ctx, plainCall.service.name)
-		pause(ctx, homeRetryDelay)
+		waiter.Pause(ctx, homeRetryDelay)
 	}
 }
 
@@ -293,7 +294,7 @@
 	ctx, cancel := context.WithTimeout(ctx, homesTimeout)
 	defer cancel()
 	agents := entry.holder.Membership().Select(func(instance cranberryward.Instance) bool { return instance.Service == service })
-	if all, err := entry.allZones(ctx); err == nil {
+	if all, err := entry.allZones(ctx, zoneCacheAge); err == nil {
 		agents = append(agents, all.Select(func(instance cranberryward.Instance) bool { return instance.Service == service })...)
 	}
 	var group sync.WaitGroup
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -15,15 +15,13 @@
 	"github.com/cranberryward/cranberryward/limiter"
 	"github.com/cranberryward/cranberryward/listener"
 	"github.com/cranberryward/cranberryward/recorder"
+	"github.com/cranberryward/cranberryward/waiter"
 	"github.com/go-kit/log"
 	"go.uber.org/fx"
 )
 
 const (
-	startTimeout     = 10 * time.Second
-	registerPeriod   = 500 * time.Millisecond
-	registerTimeout  = 2 * time.Second
-	deregisterWithin = time.Second
+	startTimeout = 10 * time.Second
 )
 
 // Server is a running entry.
@@ -162,7 +160,7 @@
 	entry.callers.Start()
 	entry.admin.Start()
 	go entry.follower.Run(entry.background)
-	go entry.register(entry.background)
+	go distributor.Register(entry.background, entry.list, entry.instance)
 	go entry.track(entry.background)
 	go entry.control(entry.background)
 	_ = entry.logger.Log("event", "started", "listen", entry.settings.Listen, "admin_listen", entry.settings.AdminListen,
@@ -170,26 +168,6 @@
 	return nil
 }
 
-// register adds this life of the instance to the platform's list, trying until the list answers.
-func (entry *entry) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		attempt, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := entry.list.Register(attempt, entry.instance)
-		cancel()
-		if err == nil {
-			return
-		}
-		pause(ctx, registerPeriod)
-	}
-}
-
-func pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
-
 // Start brings the entry up.
 func (server *Server) Start(ctx context.Context) error { return server.app.Start(ctx) }
 
@@ -199,10 +177,8 @@
 	ctx, cancel := context.WithTimeout(ctx, entry.settings.StopLimit)
 	defer cancel()
 	entry.stopping.Store(true)
-	pause(ctx, entry.settings.StopGrace)
-	deregister, done := context.WithTimeout(context.WithoutCancel(ctx), deregisterWithin)
-	_ = entry.list.Deregister(deregister, entry.instance.ID)
-	done()
+	waiter.Pause(ctx, entry.settings.StopGrace)
+	distributor.Deregister(ctx, entry.list, entry.instance)
 	err := entry.callers.Stop(ctx)
 	_ = entry.admin.Stop(ctx)
 	server.cancel()
--- a/entry/server/submit.go
+++ b/entry/server/submit.go
@@ -67,7 +67,7 @@
 
 // zoneStatus asks every zone which revision is in force there, waiting for one.
 func (entry *entry) zoneStatus(ctx context.Context, revision uint64, wait time.Duration) []ZoneStatus {
-	membership, err := entry.allZones(ctx)
+	membership, err := entry.allZones(ctx, 0)
 	if err != nil {
 		membership = entry.holder.Membership()
 	}
--- a/entry/server/track.go
+++ b/entry/server/track.go
@@ -230,10 +230,11 @@
 	at         time.Time
 }
 
-func (entry *entry) allZones(ctx context.Context) (cranberryward.Membership, error) {
+// allZones returns the instance list of all zones, read again when the kept one is older than the age.
+func (entry *entry) allZones(ctx context.Context, age time.Duration) (cranberryward.Membership, error) {
 	entry.zones.mutex.Lock()
 	defer entry.zones.mutex.Unlock()
-	if time.Since(entry.zones.at) < zoneCacheAge {
+	if time.Since(entry.zones.at) < age {
 		return entry.zones.membership, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- /dev/null
+++ b/waiter/doc.go
@@ -0,0 +1,2 @@
+// Package waiter waits for time to pass or for a context to end.
+package waiter
