Let a group run only the model versions that the sheet allows

Cause: model versions in a sheet were shown and had no effect. Ruled out: choosing the version in the entry (a stale entry would choose a wrong one). Change: the agent loads allowed versions outside quiet windows, names the one that a request runs on and refuses as not run when none is loaded; agents have a health page and metrics.

--- a/agent/server/health.go
+++ b/agent/server/health.go
@@ -17,9 +17,10 @@
 
 // health is what the agent knows of the life of its backend server.
 type health struct {
-	mutex sync.Mutex
-	life  string
-	down  bool
+	mutex  sync.Mutex
+	life   string
+	down   bool
+	loaded []string
 }
 
 func (health *health) isDown() bool {
@@ -34,8 +35,14 @@
 	return health.life
 }
 
+func (health *health) loadedVersions() []string {
+	health.mutex.Lock()
+	defer health.mutex.Unlock()
+	return health.loaded
+}
+
 // observe takes in the answer to a health check and returns whether the life before it has ended.
-func (health *health) observe(life string, err error, before string) (ended bool) {
+func (health *health) observe(state cranberryward.RankState, err error, before string) (ended bool) {
 	health.mutex.Lock()
 	defer health.mutex.Unlock()
 	if err != nil {
@@ -44,18 +51,19 @@
 		return gone
 	}
 	health.down = false
-	health.life = life
-	return before != "" && life != before
+	health.life = state.Incarnation
+	health.loaded = state.Versions
+	return before != "" && state.Incarnation != before
 }
 
 func (agent *agent) checkHealth(ctx context.Context, before string) (ended bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), healthTimeout)
 	defer cancel()
 	if agent.engine == nil {
-		return agent.health.observe("", agent.service.Alive(ctx), before)
+		return agent.health.observe(cranberryward.RankState{}, agent.service.Alive(ctx), before)
 	}
 	state, err := agent.engine.RankState(ctx)
-	return agent.health.observe(state.Incarnation, err, before)
+	return agent.health.observe(state, err, before)
 }
 
 // crashed returns whether the life of the backend server that a request began in has ended.
--- a/agent/server/http.go
+++ b/agent/server/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,13 +22,35 @@
 )
 
 func (agent *agent) handler() http.Handler {
-	router := mux.NewRouter()
+	outer := mux.NewRouter()
+	outer.HandleFunc("/healthz", agent.handleHealth).Methods(http.MethodGet)
+	router := outer.NewRoute().Subrouter()
 	router.Use(agent.authenticate)
+	router.HandleFunc("/debug/vars", agent.handleVars).Methods(http.MethodGet)
 	router.HandleFunc("/run/generate", agent.handleGenerate).Methods(http.MethodPost)
 	router.HandleFunc("/run/streams/{id}", agent.handleResume).Methods(http.MethodGet)
 	router.HandleFunc("/run/streams/{id}", agent.handleCancel).Methods(http.MethodDelete)
 	router.HandleFunc("/run/service", agent.handleService).Methods(http.MethodPost)
-	return router
+	return outer
+}
+
+func (agent *agent) handleHealth(writer http.ResponseWriter, _ *http.Request) {
+	listener.WriteJSON(writer, http.StatusOK, map[string]bool{
+		"backend_server_up": !agent.health.isDown(),
+		"draining":          agent.drain.isDraining(),
+	})
+}
+
+func (agent *agent) handleVars(writer http.ResponseWriter, _ *http.Request) {
+	load := agent.load()
+	values := new(expvar.Map)
+	values.Add("in_flight", int64(load.InFlight))
+	values.Add("queued", int64(load.Queued))
+	values.Add("limit", int64(load.Limit))
+	values.Add("keys", int64(agent.memory.Len()))
+	values.Add("revision", int64(agent.holder.Revision()))
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write([]byte(values.String()))
 }
 
 func (agent *agent) authenticate(next http.Handler) http.Handler {
@@ -85,7 +108,7 @@
 	if agent.engine == nil {
 		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "the backend server is not a model engine")
 	}
-	if err := agent.permits(generate); err != nil {
+	if err := agent.chooseVersion(&generate); err != nil {
 		return err
 	}
 	admission, err := agent.admit(ctx, admissionRequest{
@@ -113,21 +136,6 @@
 	return admission.failed(ctx, err)
 }
 
-// permits refuses a model version that the sheet does not allow for this group.
-func (agent *agent) permits(generate cranberryward.GenerateRequest) error {
-	versions, restricted := agent.holder.Effect().Versions(agent.instance.Group)
-	if !restricted || generate.Version == "" {
-		return nil
-	}
-	for _, version := range versions {
-		if version == generate.Version {
-			return nil
-		}
-	}
-	return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonNotFound,
-		"the group may not run model version "+generate.Version).WithResend(false)
-}
-
 func (agent *agent) handleResume(writer http.ResponseWriter, request *http.Request) {
 	id := mux.Vars(request)["id"]
 	offset, err := strconv.Atoi(request.URL.Query().Get("offset"))
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -191,6 +191,9 @@
 		go agent.balanceHomes(agent.background)
 	}
 	go agent.watchHealth(agent.background)
+	if agent.engine != nil {
+		go agent.keepVersions(agent.background)
+	}
 	if agent.switcher != nil && agent.instance.Rank == 0 {
 		go agent.maintain(agent.background)
 	}
--- /dev/null
+++ b/agent/server/versions.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/switcher"
+	"github.com/cranberryward/cranberryward/waiter"
+)
+
+const (
+	versionPeriod  = 500 * time.Millisecond
+	versionTimeout = 2 * time.Second
+)
+
+// keepVersions loads the model versions that the sheet allows and the engine does not hold yet, outside quiet windows.
+func (agent *agent) keepVersions(ctx context.Context) {
+	for ctx.Err() == nil {
+		agent.loadMissingVersions(ctx)
+		waiter.Pause(ctx, versionPeriod)
+	}
+}
+
+func (agent *agent) loadMissingVersions(ctx context.Context) {
+	allowed, restricted := agent.holder.Effect().Versions(agent.instance.Group)
+	if !restricted || agent.guard.MayDisrupt() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	state, err := agent.engine.RankState(ctx)
+	if err != nil {
+		return
+	}
+	for _, version := range allowed {
+		if slices.Contains(state.Versions, version) {
+			continue
+		}
+		_ = agent.guard.Order(ctx, switcher.Envelope{
+			Order: cranberryward.Order{
+				Kind:    cranberryward.OrderLoadModel,
+				Group:   agent.instance.Group,
+				Fencing: state.Fencing,
+				Model:   version,
+			},
+		})
+	}
+}
+
+// chooseVersion names the model version that a request runs on: the first one that the sheet allows and the engine holds.
+func (agent *agent) chooseVersion(generate *cranberryward.GenerateRequest) error {
+	allowed, restricted := agent.holder.Effect().Versions(agent.instance.Group)
+	if !restricted {
+		return nil
+	}
+	loaded := agent.health.loadedVersions()
+	for _, version := range allowed {
+		if slices.Contains(loaded, version) && (generate.Version == "" || generate.Version == version) {
+			generate.Version = version
+			return nil
+		}
+	}
+	return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonVersion,
+		"the engine holds no model version that the group may run").WithRetryAfter(versionPeriod)
+}
--- a/message_engine.go
+++ b/message_engine.go
@@ -128,6 +128,7 @@
 type Execution struct {
 	RequestID string `json:"request_id"`
 	Key       string `json:"key,omitempty"`
+	Version   string `json:"version,omitempty"`
 	Text      string `json:"text"`
 	Finished  bool   `json:"finished"`
 }
--- a/standin/engineserver/rank.go
+++ b/standin/engineserver/rank.go
@@ -119,6 +119,7 @@
 	for _, stream := range rank.executions {
 		executions = append(executions, cranberryward.Execution{
 			RequestID: stream.request.RequestID,
+			Version:   stream.request.Version,
 			Text:      stream.text[:stream.sent],
 			Finished:  stream.end != nil,
 		})
--- a/verdict.go
+++ b/verdict.go
@@ -70,6 +70,7 @@
 	ReasonUnavailable      Reason = "platform_unavailable"
 	ReasonCanceled         Reason = "canceled"
 	ReasonWrongIncarnation Reason = "wrong_incarnation"
+	ReasonVersion          Reason = "model_version_not_allowed"
 	ReasonCrashed          Reason = "backend_server_crashed"
 	ReasonInternal         Reason = "internal"
 )
