Wait for every listed process before a zone is told as in force

Cause: a parent that an agent only tried while starting kept it on its list at revision 0 for four seconds, so zones were told as not confirmed, or as 8 of 7 processes; without that, the answer came before all had confirmed (4 of 7). Ruled out: counting fewer processes as enough. Change: children are counted once they confirm; a submission asks the roots again until all listed processes have confirmed. Conclusion: in force means every listed process.

--- a/distributor/service.go
+++ b/distributor/service.go
@@ -90,9 +90,12 @@
 func (service *Service) touch(request PullRequest) {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
-	known := service.children[request.From]
+	known, confirmed := service.children[request.From]
+	if !confirmed {
+		// A child that only tries this parent confirms to another one.
+		return
+	}
 	known.at = time.Now()
-	known.processes = max(known.processes, 1)
 	if known.inForce > request.Revision {
 		known.inForce = request.Revision
 	}
--- a/entry/server/submit.go
+++ b/entry/server/submit.go
@@ -8,12 +8,14 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/distributor"
+	"github.com/cranberryward/cranberryward/waiter"
 	"github.com/oklog/ulid/v2"
 )
 
 const (
 	appendTimeout = 8 * time.Second
 	inForceMargin = time.Second
+	zonePoll      = 50 * time.Millisecond
 	crashAuthor   = "cranberryward"
 )
 
@@ -93,7 +95,19 @@
 	return zones
 }
 
+// oneZone asks a zone's roots until every listed process has confirmed the revision or the wait is over.
 func (entry *entry) oneZone(ctx context.Context, membership cranberryward.Membership, name string, revision uint64, wait time.Duration) ZoneStatus {
+	deadline := time.Now().Add(wait)
+	for {
+		zone := entry.askZone(ctx, membership, name, revision, max(time.Until(deadline), 0))
+		if zone.InForce || ctx.Err() != nil || time.Until(deadline) <= zonePoll {
+			return zone
+		}
+		waiter.Pause(ctx, zonePoll)
+	}
+}
+
+func (entry *entry) askZone(ctx context.Context, membership cranberryward.Membership, name string, revision uint64, wait time.Duration) ZoneStatus {
 	reply, err := distributor.AskInForce(ctx, entry.client, membership, name, revision, wait)
 	zone := ZoneStatus{
 		Zone:      name,
