Ask idle backend servers and ranks less often

Cause: an idle agent used 0.895% of a core, most of it for four health checks a second and, at a group's first rank, the states of all ranks five times a second; an entry's reports would pass 10 KB/s at 48 backend servers.

Ruled out: slower checks while a backend server is down (its return must be seen at once), and asking all ranks at all: a group that enters steps has a map on every rank, so the gate's own step says it.

Change: health once a second while up, all ranks only when the group does not advance, reports after two seconds instead of one when no answer brought one.

--- a/agent/server/drain.go
+++ b/agent/server/drain.go
@@ -21,7 +21,7 @@
 	eventEmpty     = charter.Event("empty")
 	eventTimeLimit = charter.Event("time_limit")
 
-	leavingPoll     = 250 * time.Millisecond
+	leavingPoll     = 500 * time.Millisecond
 	handOverTimeout = 2 * time.Second
 	balancePeriod   = 2 * time.Second
 	settlePoll      = 10 * time.Millisecond
--- a/agent/server/health.go
+++ b/agent/server/health.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	healthPeriod  = 250 * time.Millisecond
+	healthPeriod  = time.Second
 	downPeriod    = 50 * time.Millisecond
 	healthTimeout = time.Second
 )
--- a/agent/server/ports.go
+++ b/agent/server/ports.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	maintainPeriod  = 200 * time.Millisecond
+	maintainPeriod  = 250 * time.Millisecond
 	restoreDeadline = 30 * time.Second
 )
 
@@ -123,7 +123,7 @@
 // maintain releases a group that an earlier life of this agent left held and gives ranks that restarted with nothing their expert map.
 func (agent *agent) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, err := agent.switcher.Resolve(ctx); err == nil {
+		if _, err := agent.switcher.Resolve(ctx); err == nil && !agent.switcher.Advancing(ctx) {
 			restore, cancel := context.WithTimeout(ctx, restoreDeadline)
 			_ = agent.switcher.RestoreRanks(restore, agent.recordedMap)
 			cancel()
--- a/entry/server/track.go
+++ b/entry/server/track.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	trackPeriod        = 250 * time.Millisecond
-	reportAge          = time.Second
+	trackPeriod        = 500 * time.Millisecond
+	reportAge          = 2 * time.Second
 	reportTimeout      = time.Second
 	candidatesPerGroup = 2
 	zoneCacheAge       = 5 * time.Second
--- a/switcher/ranks.go
+++ b/switcher/ranks.go
@@ -54,6 +54,22 @@
 	return nil
 }
 
+// Advancing returns whether the group has entered steps since the last call, which it cannot while a rank has no expert map.
+func (switcher *Switcher) Advancing(ctx context.Context) bool {
+	switcher.mutex.Lock()
+	defer switcher.mutex.Unlock()
+	ports := switcher.ports()
+	if len(ports) == 0 {
+		return false
+	}
+	state, err := ports[0].State(ctx)
+	if err != nil || state.MapVersion == 0 || state.Step == switcher.step {
+		return false
+	}
+	switcher.step = state.Step
+	return switcher.remember(ctx, ports[0], state.MapVersion) == nil
+}
+
 // remember keeps the map that the group runs, for the case that every rank restarts.
 func (switcher *Switcher) remember(ctx context.Context, port Port, version uint64) error {
 	if switcher.last.Version == version {
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -53,6 +53,7 @@
 	logger log.Logger
 	mutex  sync.Mutex
 	used   uint64
+	step   uint64
 	last   cranberryward.ExpertMap
 }
 
