Measure the placement's slope against experts at four sizes

Cause: docs/CAPACITY.md had two points for experts. Ruled out: a line through two points. Change: bench slopes decides for 64, 128, 192 and 256 experts on 32 ranks and 60 layers.

--- /dev/null
+++ b/bench/experts.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/planner"
+)
+
+const (
+	expertRanks      = 32
+	expertLayers     = 60
+	expertRounds     = 5
+	expertZipf       = 0.8
+	expertSpare      = 1000
+	spareSlots       = 2
+	expertTokens     = 1e6
+	bytesPerMegabyte = 1e6
+)
+
+// slopeExperts measures one placement decision and the controller's state against the experts of a layer.
+func slopeExperts() {
+	took := &series{
+		role:     "controller",
+		quantity: "decision",
+		unit:     "ms",
+	}
+	memory := &series{
+		role:     "controller",
+		quantity: "memory",
+		unit:     "MB",
+	}
+	for _, experts := range []int{64, 128, 192, 256} {
+		milliseconds, megabytes := decideOnce(experts)
+		took.add(float64(experts), milliseconds)
+		memory.add(float64(experts), megabytes)
+	}
+	took.print("experts")
+	memory.print("experts")
+}
+
+func decideOnce(experts int) (milliseconds, megabytes float64) {
+	random := rand.New(rand.NewPCG(uint64(experts), 1))
+	slots := experts/expertRanks + spareSlots
+	capacity := make([]int, expertRanks)
+	for rank := range capacity {
+		capacity[rank] = slots
+	}
+	present := cranberryward.ExpertMap{
+		Version: 1,
+		Ranks:   expertRanks,
+	}
+	for range expertLayers {
+		present.Layers = append(present.Layers, planner.GreedyLayer(randomLoads(random, experts), capacity))
+	}
+	before := heapMegabytes()
+	estimator := planner.NewEstimator(expertLayers, experts, planner.ParlamigoWeights())
+	report := planner.Report{}
+	for range expertLayers {
+		var row []float32
+		for _, load := range randomLoads(random, experts) {
+			row = append(row, float32(load*expertTokens))
+		}
+		report.Loads = append(report.Loads, row)
+	}
+	for bin := range 48 {
+		report.Sequence++
+		estimator.Observe(float64(bin*1800), []planner.Report{report})
+	}
+	megabytes = heapMegabytes() - before
+	policy := planner.NewPaying(planner.ParlamigoWeights())
+	best := math.Inf(1)
+	for range expertRounds {
+		started := time.Now()
+		policy.Decide(planner.Situation{
+			Second:  86000,
+			Present: present,
+			Memory: planner.Memory{
+				SlotsPerLayer: slots,
+				SparePerRank:  expertSpare,
+				ExpertBytes:   1 << 20,
+			},
+			BytesPerSecond: 1 << 30,
+			ChangeSeconds:  1,
+		}, estimator)
+		best = min(best, float64(time.Since(started).Microseconds())/1000)
+	}
+	return best, megabytes
+}
+
+func randomLoads(random *rand.Rand, experts int) []float64 {
+	loads := make([]float64, experts)
+	for expert := range loads {
+		loads[expert] = math.Pow(float64(1+random.IntN(experts)), -expertZipf)
+	}
+	return loads
+}
+
+func heapMegabytes() float64 {
+	runtime.GC()
+	var statistics runtime.MemStats
+	runtime.ReadMemStats(&statistics)
+	return float64(statistics.HeapAlloc) / bytesPerMegabyte
+}
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -72,6 +72,7 @@
 }
 
 func measureSlopes(ctx context.Context, directory string) error {
+	slopeExperts()
 	if err := slopeBackends(ctx, directory); err != nil {
 		return err
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -73,6 +73,14 @@
 			},
 			want: -1,
 		},
+		"whole zone lost": {
+			change: func(servers []Server, _ *PrefixIndex) {
+				for i := range servers {
+					servers[i] = Server{}
+				}
+			},
+			want: -1,
+		},
 		"server coming back slowly": {
 			change: func(servers []Server, _ *PrefixIndex) {
 				for i := range servers {
