Let a restored group's orders pass the guards that saw a newer lease

Cause: after all ranks restarted, the engines had forgotten every fencing number, but the agents' guards had not: orders numbered by the engines' states were refused for good when a controller with a newer lease had ordered before.

Ruled out: letting recovery orders pass without a number.

Change: an agent tells the greatest number that its guard or its engine has seen, and the driver counts on from there.

--- a/agent/guard/guard.go
+++ b/agent/guard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -28,6 +29,7 @@
 	logger      log.Logger
 	mutex       sync.Mutex
 	greatest    uint64
+	seen        atomic.Uint64
 	known       bool
 }
 
@@ -43,6 +45,13 @@
 	}
 }
 
+// State returns the state of the rank with the greatest fencing number that the guard or the engine has seen.
+func (guard *Guard) State(ctx context.Context) (cranberryward.RankState, error) {
+	state, err := guard.engine.RankState(ctx)
+	state.Fencing = max(state.Fencing, guard.seen.Load())
+	return state, err
+}
+
 // Order lets an order through to the engine or refuses it as not run.
 func (guard *Guard) Order(ctx context.Context, envelope switcher.Envelope) error {
 	guard.mutex.Lock()
@@ -50,6 +59,7 @@
 	err := guard.check(ctx, envelope)
 	if err == nil {
 		guard.greatest = envelope.Order.Fencing
+		guard.seen.Store(guard.greatest)
 		err = guard.engine.Order(ctx, envelope.Order)
 	}
 	verdict := cranberryward.VerdictOf(err)
--- a/agent/server/peer.go
+++ b/agent/server/peer.go
@@ -64,7 +64,7 @@
 	}
 	ctx, cancel := peer.context()
 	defer cancel()
-	state, err := peer.agent.engine.RankState(ctx)
+	state, err := peer.agent.guard.State(ctx)
 	*reply = state
 	return caller.EncodeError(err)
 }
--- a/agent/server/ports.go
+++ b/agent/server/ports.go
@@ -27,7 +27,7 @@
 
 // State returns the present state of the rank.
 func (ownPort ownPort) State(ctx context.Context) (cranberryward.RankState, error) {
-	return ownPort.agent.engine.RankState(ctx)
+	return ownPort.agent.guard.State(ctx)
 }
 
 // Map returns an expert map that the rank holds.
