Give the commands that only read one shape

Ruled out: one command with a switch. Change: commander.NewReading takes what to read and how to show it. Conclusion: a new reading command is two functions.

--- a/cranberryward/correction/list/list.go
+++ b/cranberryward/correction/list/list.go
@@ -5,46 +5,26 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
 	"github.com/cranberryward/cranberryward/cranberryward/commander"
-	"github.com/integrii/flaggy"
 )
 
-// Options are what the command needs.
-type Options struct {
-	factory *commander.Factory
-	asJSON  bool
-}
-
 // New returns the command.
 func New(factory *commander.Factory) *commander.Command {
-	options := &Options{
-		factory: factory,
-	}
-	return commander.NewCommand("list", "List the corrections that lie over the sheet", "cranberryward correction list",
-		func(subcommand *flaggy.Subcommand) {
-			subcommand.Bool(&options.asJSON, "", "json", "Print the corrections as JSON")
-		},
-		options.run)
+	return commander.NewReading(factory, "list", "List the corrections that lie over the sheet", "cranberryward correction list", read, show)
 }
 
-func (options *Options) run(ctx context.Context) error {
-	client, err := options.factory.Administrator()
-	if err != nil {
-		return err
-	}
+func read(ctx context.Context, client *administrator.Client) ([]cranberryward.Correction, error) {
 	configuration, err := client.Configuration(ctx)
-	if err != nil {
-		return err
-	}
-	if options.asJSON {
-		return options.factory.Streams().JSON(configuration.Corrections)
-	}
+	return configuration.Corrections, err
+}
+
+func show(streams commander.Streams, corrections []cranberryward.Correction) {
 	rows := [][]string{}
-	for _, correction := range configuration.Corrections {
+	for _, correction := range corrections {
 		rows = append(rows, row(correction))
 	}
-	options.factory.Streams().Table([]string{"ID", "KIND", "NAME", "ZONE", "VALUE", "FROM", "UNTIL", "EXPIRES"}, rows)
-	return nil
+	streams.Table([]string{"ID", "KIND", "NAME", "ZONE", "VALUE", "FROM", "UNTIL", "EXPIRES"}, rows)
 }
 
 func row(correction cranberryward.Correction) []string {
--- a/cranberryward/sheet/show/show.go
+++ b/cranberryward/sheet/show/show.go
@@ -6,26 +6,13 @@
 	"strings"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
 	"github.com/cranberryward/cranberryward/cranberryward/commander"
-	"github.com/integrii/flaggy"
 )
 
-// Options are what the command needs.
-type Options struct {
-	factory *commander.Factory
-	asJSON  bool
-}
-
 // New returns the command.
 func New(factory *commander.Factory) *commander.Command {
-	options := &Options{
-		factory: factory,
-	}
-	return commander.NewCommand("show", "Show the sheet in force", "cranberryward sheet show",
-		func(subcommand *flaggy.Subcommand) {
-			subcommand.Bool(&options.asJSON, "", "json", "Print the configuration as JSON")
-		},
-		options.run)
+	return commander.NewReading(factory, "show", "Show the sheet in force", "cranberryward sheet show", read, show)
 }
 
 // Rows returns a sheet as rows of the columns that Header names.
@@ -51,19 +38,11 @@
 	return []string{"KIND", "NAME", "ZONE", "START", "END", "TIME ZONE", "VALUE"}
 }
 
-func (options *Options) run(ctx context.Context) error {
-	client, err := options.factory.Administrator()
-	if err != nil {
-		return err
-	}
-	configuration, err := client.Configuration(ctx)
-	if err != nil {
-		return err
-	}
-	if options.asJSON {
-		return options.factory.Streams().JSON(configuration)
-	}
-	options.factory.Streams().Progress("revision %d, sheet of revision %d, %d corrections", configuration.Revision, configuration.SheetRevision, len(configuration.Corrections))
-	options.factory.Streams().Table(Header(), Rows(configuration.Sheet))
-	return nil
+func read(ctx context.Context, client *administrator.Client) (cranberryward.Configuration, error) {
+	return client.Configuration(ctx)
+}
+
+func show(streams commander.Streams, configuration cranberryward.Configuration) {
+	streams.Progress("revision %d, sheet of revision %d, %d corrections", configuration.Revision, configuration.SheetRevision, len(configuration.Corrections))
+	streams.Table(Header(), Rows(configuration.Sheet))
 }
--- a/cranberryward/status/status.go
+++ b/cranberryward/status/status.go
@@ -6,47 +6,21 @@
 	"strconv"
 	"time"
 
+	"github.com/cranberryward/cranberryward/cranberryward/administrator"
 	"github.com/cranberryward/cranberryward/cranberryward/commander"
 	"github.com/cranberryward/cranberryward/entry/server"
-	"github.com/integrii/flaggy"
 )
 
-// Options are what the command needs.
-type Options struct {
-	factory *commander.Factory
-	asJSON  bool
-}
-
 // New returns the command.
 func New(factory *commander.Factory) *commander.Command {
-	options := &Options{
-		factory: factory,
-	}
-	return commander.NewCommand("status", "Show zones, groups, leaving backend servers, quiet windows and quarantines", "cranberryward status",
-		func(subcommand *flaggy.Subcommand) {
-			subcommand.Bool(&options.asJSON, "", "json", "Print the state as JSON")
-		},
-		options.run)
+	return commander.NewReading(factory, "status", "Show zones, groups, leaving backend servers, quiet windows and quarantines", "cranberryward status", read, show)
 }
 
-func (options *Options) run(ctx context.Context) error {
-	client, err := options.factory.Administrator()
-	if err != nil {
-		return err
-	}
-	status, err := client.Status(ctx)
-	if err != nil {
-		return err
-	}
-	if options.asJSON {
-		return options.factory.Streams().JSON(status)
-	}
-	options.show(status)
-	return nil
+func read(ctx context.Context, client *administrator.Client) (server.Status, error) {
+	return client.Status(ctx)
 }
 
-func (options *Options) show(status server.Status) {
-	streams := options.factory.Streams()
+func show(streams commander.Streams, status server.Status) {
 	streams.Progress("%s in %s, version %s, revision %d, confirmed %v (%d ms ago)", status.Instance, status.Zone, status.Version, status.Revision, status.Confirmed, status.AgeMS)
 	var rows [][]string
 	for _, zone := range status.Zones {
