--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := ./... ./agent/... ./bench/... ./cranberryward/... ./entry/... ./measure/... ./standin/...
+MODULES := ./... ./agent/... ./bench/... ./cranberryward/... ./entry/... ./gateway/... ./measure/... ./standin/...
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 SEED ?= 1
 ROUNDS ?= 1
@@ -8,7 +8,7 @@
 .PHONY: build format vet lint test check bench measure slopes soak
 
 build:
-	go build -ldflags "-X github.com/cranberryward/cranberryward.Version=$(VERSION)" -o bin/ ./agent ./cranberryward ./entry ./standin
+	go build -ldflags "-X github.com/cranberryward/cranberryward.Version=$(VERSION)" -o bin/ ./agent ./cranberryward ./entry ./gateway ./standin
 
 format:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
--- /dev/null
+++ b/connector/connector.go
@@ -0,0 +1,183 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// dialTimeout bounds a new connection within a region, whose links have a delay of a few milliseconds; a lost packet is sent again after a second.
+	dialTimeout = 1200 * time.Millisecond
+	// silenceTimeout ends a connection whose peer acknowledges nothing, as without power or behind a partition.
+	silenceTimeout = 1500 * time.Millisecond
+	// idlePerServer bounds the idle connections kept to one backend server.
+	idlePerServer = 16
+)
+
+// ErrBusy means that the connections allowed to a backend server are all in use.
+var ErrBusy = eris.New("all connections to the backend server are in use")
+
+// Connector keeps connections to backend servers, and its zero value is ready.
+type Connector struct {
+	mutex sync.Mutex
+	idle  map[string][]*connection
+	open  map[string]int
+	// Limit returns how many connections to an address may be open, and zero for no limit.
+	Limit func(address string) int
+}
+
+// take returns an idle connection to the address, or a new one.
+func (connector *Connector) take(ctx context.Context, address string, fresh bool) (*connection, error) {
+	if !fresh {
+		if kept := connector.reuse(address); kept != nil {
+			return kept, nil
+		}
+	}
+	if !connector.reserve(address) {
+		return nil, ErrBusy
+	}
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		Control: setSilenceTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     silenceTimeout / 3,
+			Interval: silenceTimeout / 3,
+			Count:    3,
+		},
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		connector.release(address)
+		return nil, eris.Wrap(err, "connect")
+	}
+	return newConnection(conn, address), nil
+}
+
+func (connector *Connector) reuse(address string) *connection {
+	now := time.Now()
+	for {
+		connector.mutex.Lock()
+		list := connector.idle[address]
+		if len(list) == 0 {
+			connector.mutex.Unlock()
+			return nil
+		}
+		kept := list[len(list)-1]
+		connector.idle[address] = list[:len(list)-1]
+		connector.mutex.Unlock()
+		if now.Sub(kept.idleSince) < kept.idleLimit && kept.quiet() {
+			kept.used = true
+			return kept
+		}
+		connector.discard(kept)
+	}
+}
+
+func (connector *Connector) reserve(address string) bool {
+	limit := 0
+	if connector.Limit != nil {
+		limit = connector.Limit(address)
+	}
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if connector.open == nil {
+		connector.open = map[string]int{}
+		connector.idle = map[string][]*connection{}
+	}
+	if limit > 0 && connector.open[address] >= limit {
+		list := connector.idle[address]
+		if len(list) == 0 {
+			return false
+		}
+		oldest := list[0]
+		connector.idle[address] = list[1:]
+		_ = oldest.Close()
+		connector.open[address]--
+	}
+	connector.open[address]++
+	return true
+}
+
+func (connector *Connector) release(address string) {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	connector.open[address]--
+	if connector.open[address] <= 0 {
+		delete(connector.open, address)
+	}
+}
+
+func (connector *Connector) discard(connection *connection) {
+	_ = connection.Close() // an error of closing changes nothing for a connection that is given up
+	connector.release(connection.server)
+}
+
+// keep makes a connection available again if nothing speaks against it.
+func (connector *Connector) keep(connection *connection) {
+	if connection.broken || connection.idleLimit <= 0 || connection.reader.Buffered() > 0 || connection.SetDeadline(time.Time{}) != nil {
+		connector.discard(connection)
+		return
+	}
+	connection.idleSince = time.Now()
+	connector.mutex.Lock()
+	full := len(connector.idle[connection.server]) >= idlePerServer
+	if !full {
+		connector.idle[connection.server] = append(connector.idle[connection.server], connection)
+	}
+	connector.mutex.Unlock()
+	if full {
+		connector.discard(connection)
+	}
+}
+
+// Sweep closes idle connections that are no longer of use.
+func (connector *Connector) Sweep() {
+	now := time.Now()
+	var expired []*connection
+	connector.mutex.Lock()
+	for address, list := range connector.idle {
+		kept := list[:0]
+		for _, connection := range list {
+			if now.Sub(connection.idleSince) < connection.idleLimit {
+				kept = append(kept, connection)
+			} else {
+				expired = append(expired, connection)
+			}
+		}
+		connector.idle[address] = kept
+		if len(kept) == 0 {
+			delete(connector.idle, address)
+		}
+	}
+	connector.mutex.Unlock()
+	for _, connection := range expired {
+		connector.discard(connection)
+	}
+}
+
+// Open returns how many connections are open to all backend servers.
+func (connector *Connector) Open() int {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	total := 0
+	for _, count := range connector.open {
+		total += count
+	}
+	return total
+}
+
+// Forget closes the idle connections to an address.
+func (connector *Connector) Forget(address string) {
+	connector.mutex.Lock()
+	list := connector.idle[address]
+	delete(connector.idle, address)
+	connector.mutex.Unlock()
+	for _, connection := range list {
+		connector.discard(connection)
+	}
+}
--- /dev/null
+++ b/connector/silence_linux.go
@@ -0,0 +1,19 @@
+package connector
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// setSilenceTimeout ends the connection when sent bytes stay unacknowledged.
+func setSilenceTimeout(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,200 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/connector"
+	"github.com/cranberryward/cranberryward/platform"
+	"github.com/go-kit/log"
+)
+
+const (
+	// sendLimit bounds the sends of one client attempt, refused ones included.
+	sendLimit = 4
+	// shortestSend is the least time left with which a send can still bring an answer to the caller.
+	shortestSend = 30 * time.Millisecond
+	// longestAnswer bounds an answer that is held until it is whole, in bytes.
+	longestAnswer = 16 << 20
+	// defaultAllowance applies to a request whose caller and route state no time.
+	defaultAllowance = 30 * time.Second
+	// startRetryAfter is when a caller may return to an entry that knows no configuration yet, which the platform asks once a second.
+	startRetryAfter = 500 * time.Millisecond
+)
+
+// Options are what a forwarder is built from.
+type Options struct {
+	Zone        string
+	Drain       time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Entries returns how many entries share the retry budget.
+	Entries func() int
+	Logger  log.Logger
+}
+
+// Forwarder answers callers' requests.
+type Forwarder struct {
+	options   Options
+	table     atomic.Pointer[table]
+	servers   servers
+	connector connector.Connector
+	budget    budget
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	lines     lines
+}
+
+// New returns a forwarder that refuses all requests until it is given a belief.
+func New(options Options) *Forwarder {
+	forwarder := &Forwarder{
+		options: options,
+		servers: servers{
+			zone:  options.Zone,
+			drain: options.Drain,
+		},
+		budget: budget{
+			ratio:   options.RetryRatio,
+			slack:   options.RetrySlack,
+			window:  options.RetryWindow,
+			entries: options.Entries,
+		},
+		lines: lines{logger: options.Logger},
+	}
+	return forwarder
+}
+
+// Configure takes over a configuration and the registered backend servers.
+func (forwarder *Forwarder) Configure(view cranberryward.View) {
+	if present := forwarder.table.Load(); view.Deployment != nil && (present == nil || present.deployment.Revision < view.Deployment.Revision) {
+		forwarder.table.Store(newTable(view.Deployment))
+	}
+	forwarder.servers.update(view.Servers)
+}
+
+// Configured returns whether requests can be routed.
+func (forwarder *Forwarder) Configured() bool { return forwarder.table.Load() != nil }
+
+// Running returns how many requests of this entry are at each backend server.
+func (forwarder *Forwarder) Running() map[string]int { return forwarder.servers.runningCounts() }
+
+// Share takes over how many requests the other entries have at each backend server.
+func (forwarder *Forwarder) Share(others map[string]int) { forwarder.servers.share(others) }
+
+// InFlight returns how many requests are being answered.
+func (forwarder *Forwarder) InFlight() int64 { return forwarder.inFlight.Load() }
+
+// Stop lets each further answer ask its caller to use another connection.
+func (forwarder *Forwarder) Stop() { forwarder.stopping.Store(true) }
+
+// Sweep closes idle connections that are no longer of use.
+func (forwarder *Forwarder) Sweep() { forwarder.connector.Sweep() }
+
+// ServeHTTP answers one request.
+func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	forwarder.inFlight.Add(1)
+	defer forwarder.inFlight.Add(-1)
+	if forwarder.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	exchange := &exchange{
+		request: request,
+		facts:   platform.ReadRequest(request),
+		arrived: time.Now(),
+		tried:   map[string]bool{},
+	}
+	if !forwarder.place(writer, exchange) || !forwarder.readBody(writer, exchange) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), exchange.deadline)
+	defer cancel()
+	exchange.ctx = ctx
+	forwarder.budget.first(exchange.service)
+	forwarder.serve(writer, exchange)
+}
+
+// place finds the route, workspace and time of a request, or answers it.
+func (forwarder *Forwarder) place(writer http.ResponseWriter, exchange *exchange) bool {
+	table := forwarder.table.Load()
+	if table == nil {
+		forwarder.refuse(writer, exchange, http.StatusServiceUnavailable, "no_configuration", startRetryAfter)
+		return false
+	}
+	exchange.route = table.route(exchange.request.Host, exchange.request.URL.Path)
+	if exchange.route == nil {
+		forwarder.refuse(writer, exchange, http.StatusNotFound, "no_route", 0)
+		return false
+	}
+	workspace, admitted := table.admits(exchange.route, exchange.facts.Key)
+	if !admitted {
+		forwarder.refuse(writer, exchange, http.StatusUnauthorized, "unknown_key", 0)
+		return false
+	}
+	exchange.workspace = workspace
+	exchange.service = share(exchange.route)
+	exchange.allowance = exchange.facts.Remaining
+	if timeout := exchange.route.Timeout; timeout > 0 && (exchange.allowance <= 0 || timeout < exchange.allowance) {
+		exchange.allowance = timeout
+	}
+	if exchange.allowance <= 0 {
+		exchange.allowance = defaultAllowance
+	}
+	exchange.deadline = exchange.arrived.Add(exchange.allowance)
+	return true
+}
+
+func (forwarder *Forwarder) readBody(writer http.ResponseWriter, exchange *exchange) bool {
+	limit := forwarder.table.Load().deployment.Limits.BodyBytes
+	if exchange.request.Body == nil || exchange.request.Body == http.NoBody {
+		return true
+	}
+	if limit > 0 && exchange.request.ContentLength > limit {
+		forwarder.refuse(writer, exchange, http.StatusRequestEntityTooLarge, "body_too_long", 0)
+		return false
+	}
+	var reader io.Reader = exchange.request.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(writer, exchange.request.Body, limit)
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, max(exchange.request.ContentLength, 0)+bytes.MinRead))
+	if _, err := buffer.ReadFrom(reader); err != nil {
+		var tooLong *http.MaxBytesError
+		if isTooLong(err, &tooLong) {
+			forwarder.refuse(writer, exchange, http.StatusRequestEntityTooLarge, "body_too_long", 0)
+			return false
+		}
+		forwarder.lines.ended(exchange, 0, "caller_left_while_sending")
+		panic(http.ErrAbortHandler)
+	}
+	exchange.body = buffer.Bytes()
+	return true
+}
+
+// refuse answers a request that was not and will not be sent to a backend server.
+func (forwarder *Forwarder) refuse(writer http.ResponseWriter, exchange *exchange, status int, reason string, retryAfter time.Duration) {
+	platform.SetOwnAnswer(writer.Header(), exchange.facts.ID, retryAfter)
+	writer.Header().Set("Content-Length", "0")
+	writer.WriteHeader(status)
+	forwarder.lines.ended(exchange, status, reason)
+}
+
+// fail answers a request that got no answer from a backend server, as refused only if it certainly did not run.
+func (forwarder *Forwarder) fail(writer http.ResponseWriter, exchange *exchange, reason string, retryAfter time.Duration) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case exchange.ctx.Err() != nil && exchange.request.Context().Err() != nil:
+		forwarder.lines.ended(exchange, 0, "caller_left")
+		panic(http.ErrAbortHandler)
+	case exchange.mayHaveRun && time.Until(exchange.deadline) < shortestSend:
+		status, retryAfter = http.StatusGatewayTimeout, 0
+	case exchange.mayHaveRun:
+		status, retryAfter = http.StatusBadGateway, 0
+	}
+	forwarder.refuse(writer, exchange, status, reason, retryAfter)
+}
--- /dev/null
+++ b/forwarder/servers.go
@@ -0,0 +1,209 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+const (
+	// vanishedGrace is how long a backend server that vanished unannounced is still a last resort; registrations that a store outage lost return sooner.
+	vanishedGrace = 1500 * time.Millisecond
+	// failurePause keeps requests away from a backend server after a failed connection; repeated failures double it.
+	failurePause        = 200 * time.Millisecond
+	longestFailurePause = 2 * time.Second
+	// outcomeWeight is the weight of a new outcome in a backend server's failure share and delay.
+	outcomeWeight = 0.15
+	// failurePenalty weighs the failure share against requests in flight.
+	failurePenalty = 8.0
+	// otherZonePenalty weighs bytes between availability zones against requests in flight.
+	otherZonePenalty = 0.45
+	// reportedLoadAge is how long a reported load is believed.
+	reportedLoadAge = 2 * time.Second
+)
+
+// serverState is what this entry knows of one backend server from its own requests.
+type serverState struct {
+	server   cranberryward.BackendServer
+	vanished time.Time
+	running  int
+	failures int
+	pausedTo time.Time
+	failing  float64
+	delay    float64
+	load     cranberryward.ServerLoad
+	loadAt   time.Time
+	others   int
+}
+
+// servers are the backend servers of a process's belief with what its own requests saw of them.
+type servers struct {
+	zone  string
+	drain time.Duration
+
+	mutex  sync.Mutex
+	states map[string]*serverState
+	byName map[string][]*serverState
+}
+
+// update takes over the registered backend servers.
+func (servers *servers) update(registered map[string]cranberryward.BackendServer) {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	now := time.Now()
+	if servers.states == nil {
+		servers.states = map[string]*serverState{}
+	}
+	for id, server := range registered {
+		state := servers.states[id]
+		if state == nil || state.server.Address != server.Address {
+			state = &serverState{}
+			servers.states[id] = state
+		}
+		state.server, state.vanished = server, time.Time{}
+	}
+	for id, state := range servers.states {
+		if _, ok := registered[id]; ok {
+			continue
+		}
+		if state.vanished.IsZero() {
+			state.vanished = now
+		}
+		if now.Sub(state.vanished) > vanishedGrace && state.running == 0 {
+			delete(servers.states, id)
+		}
+	}
+	servers.byName = map[string][]*serverState{}
+	for _, state := range servers.states {
+		servers.byName[state.server.Service] = append(servers.byName[state.server.Service], state)
+	}
+}
+
+// share takes over how many requests the other entries have at each backend server.
+func (servers *servers) share(others map[string]int) {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	for id, state := range servers.states {
+		state.others = others[id]
+	}
+}
+
+// runningCounts returns how many requests of this entry are at each backend server.
+func (servers *servers) runningCounts() map[string]int {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	counts := map[string]int{}
+	for id, state := range servers.states {
+		if state.running > 0 {
+			counts[id] = state.running
+		}
+	}
+	return counts
+}
+
+// pick chooses a backend server of a service that was not tried, counts a request at it and returns nil without one.
+func (servers *servers) pick(service string, tried map[string]bool) *serverState {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	now := time.Now()
+	var best *serverState
+	bestRank, bestCost := 0, 0.0
+	for _, state := range servers.byName[service] {
+		rank := state.standing(now, tried)
+		if rank < 0 {
+			continue
+		}
+		cost := state.cost(now, servers.zone)
+		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
+			best, bestRank, bestCost = state, rank, cost
+		}
+	}
+	if best != nil {
+		best.running++
+	}
+	return best
+}
+
+// standing returns 0 for a backend server in order, 1 to 3 for last resorts and a negative number for one not to use.
+func (state *serverState) standing(now time.Time, tried map[string]bool) int {
+	standing := 0
+	switch {
+	case state.server.Leaving:
+		return -1
+	case !state.vanished.IsZero():
+		if now.Sub(state.vanished) > vanishedGrace {
+			return -1
+		}
+		standing = 2
+	case now.Before(state.pausedTo):
+		standing = 1
+	}
+	if tried[state.server.ID] {
+		standing = 3
+	}
+	return standing
+}
+
+func (state *serverState) cost(now time.Time, zone string) float64 {
+	busy := float64(state.running + state.others)
+	if state.load.Known && now.Sub(state.loadAt) < reportedLoadAge {
+		busy = max(busy, float64(state.load.Running+state.load.Waiting-1))
+	}
+	cost := busy + failurePenalty*state.failing + rand.Float64()*0.3
+	if state.server.Zone != zone {
+		cost += otherZonePenalty
+	}
+	if state.delay > 0 {
+		cost += state.delay * (busy + 1)
+	}
+	return cost
+}
+
+// outcome is how a send to a backend server ended.
+type outcome int
+
+const (
+	outcomeGood outcome = iota
+	// outcomeFailed is an answer that is a failure of the backend server or no answer.
+	outcomeFailed
+	// outcomeUnreachable is a connection that could not be made or used.
+	outcomeUnreachable
+	// outcomeRefused is a backend server's word that it did not run the request.
+	outcomeRefused
+	// outcomeAbandoned is an end on the caller's side, which says nothing of the backend server.
+	outcomeAbandoned
+)
+
+// done takes in how a request at a backend server ended.
+func (servers *servers) done(state *serverState, outcome outcome) {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	state.running--
+	now := time.Now()
+	switch outcome {
+	case outcomeGood:
+		state.failing *= 1 - outcomeWeight
+		state.failures = 0
+	case outcomeFailed:
+		state.failing += outcomeWeight * (1 - state.failing)
+	case outcomeUnreachable:
+		state.failing += outcomeWeight * (1 - state.failing)
+		state.failures++
+		state.pausedTo = now.Add(min(failurePause<<min(state.failures-1, 8), longestFailurePause))
+	case outcomeRefused:
+		state.pausedTo = now.Add(failurePause)
+	case outcomeAbandoned:
+	}
+}
+
+// observe takes in the load that a backend server reported.
+func (servers *servers) observe(state *serverState, load cranberryward.ServerLoad) {
+	if !load.Known {
+		return
+	}
+	servers.mutex.Lock()
+	state.load, state.loadAt = load, time.Now()
+	servers.mutex.Unlock()
+}
--- /dev/null
+++ b/gateway/agent/agent.go
@@ -0,0 +1,266 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/gateway/settings"
+	"github.com/cranberryward/cranberryward/platform"
+	"github.com/cranberryward/cranberryward/relayer"
+	"github.com/cranberryward/cranberryward/steward"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// refresh is the age of the belief at which an agent reads the store itself; entries do so sooner.
+	refresh = 900 * time.Millisecond
+	// leaseTerm is the time to live of the group's lease: after a controller's death its streams wait no longer than callers do.
+	leaseTerm = 1200 * time.Millisecond
+	// renewInterval leaves two further tries within the lease's time.
+	renewInterval = 400 * time.Millisecond
+	// silenceBeforeCampaign is how long an agent hears no controller before it asks for the lease; a controller observes each rank many times in it.
+	silenceBeforeCampaign = 1000 * time.Millisecond
+	// campaignSpread keeps agents from asking for the lease at the same moment.
+	campaignSpread = 600 * time.Millisecond
+	// storeTimeout bounds a call on the store, which answers in milliseconds.
+	storeTimeout = time.Second
+	groupPrefix  = "cranberryward/group/"
+)
+
+// Agent is the process beside one rank.
+type Agent struct {
+	settings settings.Settings
+	logger   log.Logger
+	store    *platform.Store
+	calls    *caller.Client
+	server   *caller.Server
+	service  *rankService
+	relayer  *relayer.Relayer
+
+	mutex   sync.Mutex
+	members map[string]*hands
+	cancel  context.CancelFunc
+	ended   chan struct{}
+}
+
+// New returns an agent that is not started.
+func New(settings settings.Settings, logger log.Logger) (*Agent, error) {
+	agent := &Agent{
+		settings: settings,
+		logger:   logger,
+		store:    platform.NewStore(settings.Store),
+		calls:    caller.NewClient(""),
+		members:  map[string]*hands{},
+		ended:    make(chan struct{}),
+	}
+	server, err := caller.NewServer(settings.PeerAddress(), "")
+	if err != nil {
+		return nil, err
+	}
+	agent.server = server
+	agent.relayer, err = relayer.New(relayer.Options{
+		Instance:   settings.Instance,
+		Zone:       settings.Zone,
+		Address:    settings.PeerAddress(),
+		Seeds:      settings.SeedPeers(),
+		Refresh:    refresh,
+		Neighbours: Neighbours(settings),
+		Logger:     logger,
+	}, agent.store, agent.calls)
+	if err != nil {
+		return nil, err
+	}
+	if err := server.Register("Belief", agent.relayer); err != nil {
+		return nil, err
+	}
+	if settings.Rank != "" {
+		agent.service = newRankService(settings.Rank)
+		if err := server.Register("Rank", agent.service); err != nil {
+			return nil, err
+		}
+	}
+	return agent, nil
+}
+
+// Neighbours returns where agents may be reached: on the instances of the ranks of groups.
+func Neighbours(settings settings.Settings) func(belief *relayer.Belief) []string {
+	return func(belief *relayer.Belief) []string {
+		if belief.Deployment == nil {
+			return nil
+		}
+		var addresses []string
+		for _, server := range belief.Servers {
+			service, known := belief.Deployment.Service(server.Service)
+			if !known || service.Engine == nil {
+				continue
+			}
+			if host, _, err := net.SplitHostPort(server.Address); err == nil {
+				addresses = append(addresses, settings.PeerAt(host))
+			}
+		}
+		return addresses
+	}
+}
+
+// Start brings the agent up.
+func (agent *Agent) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	agent.cancel = cancel
+	agent.server.Start()
+	go agent.relayer.Run(ctx)
+	go func() {
+		defer close(agent.ended)
+		if agent.service != nil {
+			agent.campaign(ctx)
+		}
+	}()
+	return nil
+}
+
+// Stop hands a group over and ends the agent.
+func (agent *Agent) Stop(ctx context.Context) error {
+	agent.cancel()
+	select {
+	case <-agent.ended:
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "the group was not handed over in time")
+	}
+	agent.server.Stop()
+	return nil
+}
+
+// Reload takes over settings that changed; addresses stay until the next start.
+func (agent *Agent) Reload(settings.Settings) {}
+
+// campaign asks for the group's lease whenever no controller is heard.
+func (agent *Agent) campaign(ctx context.Context) {
+	for {
+		spread := time.Duration(rand.Int64N(int64(campaignSpread)))
+		if sleep(ctx, spread) != nil {
+			return
+		}
+		if quiet := silenceBeforeCampaign - agent.service.silence(); quiet > 0 {
+			if sleep(ctx, quiet) != nil {
+				return
+			}
+			continue
+		}
+		if err := agent.lead(ctx); err != nil && ctx.Err() == nil {
+			_ = level.Info(agent.logger).Log("event", "campaign_failed", "error", err)
+		}
+	}
+}
+
+// lead takes the lease and controls the group until the term ends.
+func (agent *Agent) lead(ctx context.Context) error {
+	if belief, _ := agent.relayer.Belief(); belief == nil || belief.Deployment == nil {
+		return eris.New("no configuration is known yet")
+	}
+	lease, term, err := agent.takeLease(ctx)
+	if err != nil {
+		return err
+	}
+	_ = level.Info(agent.logger).Log("event", "term_begun", "term", term)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go agent.renew(ctx, cancel, lease)
+	err = steward.New(agent, term, agent.logger).Run(ctx)
+	_ = level.Info(agent.logger).Log("event", "term_ended", "term", term, "error", err)
+	ending, done := context.WithTimeout(context.Background(), storeTimeout)
+	defer done()
+	if err := agent.store.EndLease(ending, lease); err != nil {
+		_ = level.Info(agent.logger).Log("event", "lease_not_ended", "error", err)
+	}
+	return nil
+}
+
+func (agent *Agent) takeLease(ctx context.Context) (lease, term uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	ttl := max(leaseTerm, time.Duration(agent.settings.StoreMinimumLeaseMS)*time.Millisecond)
+	lease, err = agent.store.GrantLease(ctx, ttl)
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "grant a lease")
+	}
+	key := groupPrefix + agent.settings.Service
+	value := fmt.Appendf(nil, "%s", agent.settings.PeerAddress())
+	term, err = agent.store.Create(ctx, key, value, lease)
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "take the group's key")
+	}
+	return lease, term, nil
+}
+
+// renew keeps the lease; a controller that cannot reach the store goes on until the ranks' agents follow a later term.
+func (agent *Agent) renew(ctx context.Context, end context.CancelFunc, lease uint64) {
+	for sleep(ctx, renewInterval) == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := agent.store.RenewLease(call, lease)
+		cancel()
+		if eris.Is(err, platform.ErrLeaseEnded) {
+			end()
+			return
+		}
+	}
+}
+
+// Members returns the ranks that are registered now.
+func (agent *Agent) Members() []steward.Member {
+	belief, _ := agent.relayer.Belief()
+	if belief == nil {
+		return nil
+	}
+	agent.mutex.Lock()
+	defer agent.mutex.Unlock()
+	var members []steward.Member
+	for id, server := range belief.Servers {
+		if server.Service != agent.settings.Service {
+			continue
+		}
+		known := agent.members[server.Address]
+		if known == nil {
+			host, _, err := net.SplitHostPort(server.Address)
+			if err != nil {
+				continue // the platform registered no HOST:PORT, so there is no rank to reach
+			}
+			known = &hands{
+				calls:  agent.calls,
+				agent:  agent.settings.PeerAt(host),
+				direct: platform.NewRank(server.Address),
+			}
+			agent.members[server.Address] = known
+		}
+		members = append(members, steward.Member{
+			ID:    id,
+			Hands: known,
+		})
+	}
+	return members
+}
+
+// Engine returns the cost model of the group's service.
+func (agent *Agent) Engine() *cranberryward.EngineModel {
+	belief, _ := agent.relayer.Belief()
+	if belief == nil || belief.Deployment == nil {
+		return nil
+	}
+	service, _ := belief.Deployment.Service(agent.settings.Service)
+	return service.Engine
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(pause):
+		return nil
+	}
+}
--- /dev/null
+++ b/gateway/agent/rank.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/platform"
+	"github.com/cranberryward/cranberryward/steward"
+)
+
+const (
+	// localTimeout bounds a question to the rank on the same instance, which answers in a few milliseconds.
+	localTimeout = 250 * time.Millisecond
+	// orderTimeout bounds an order to the rank on the same instance; one without an answer is repeated under a new condition.
+	orderTimeout = 100 * time.Millisecond
+)
+
+// ObserveRequest asks an agent for the state of its rank.
+type ObserveRequest struct {
+	Question steward.Question
+}
+
+// ObserveReply is the state of a rank with the life of the agent that saw it.
+type ObserveReply struct {
+	Observation steward.Observation
+	Life        uint64
+}
+
+// OrderRequest asks an agent to give its rank an order, in the life in which the agent learned the term.
+type OrderRequest struct {
+	Term  uint64
+	Life  uint64
+	Order cranberryward.RankOrder
+}
+
+// OrderReply is how the rank answered.
+type OrderReply struct {
+	Answer cranberryward.OrderAnswer
+}
+
+// rankService answers the controller of the group.
+type rankService struct {
+	rank *platform.Rank
+	// life tells the lives of this agent apart: one that restarted has forgotten the terms that it saw.
+	life uint64
+
+	mutex sync.Mutex
+	term  uint64
+	heard time.Time
+
+	orders sync.Mutex
+}
+
+func newRankService(address string) *rankService {
+	return &rankService{
+		rank:  platform.NewRank(address),
+		life:  rand.Uint64(),
+		heard: time.Now(),
+	}
+}
+
+// Observe answers the controller of the latest term with the state of the rank.
+func (rankService *rankService) Observe(request ObserveRequest, reply *ObserveReply) error {
+	if err := rankService.follow(request.Question.Term); err != nil {
+		return caller.EncodeError(err)
+	}
+	observation, err := observe(rankService.rank, request.Question)
+	if err != nil {
+		return caller.EncodeError(err)
+	}
+	observation.Fresh = true
+	reply.Observation, reply.Life = observation, rankService.life
+	return nil
+}
+
+// Order gives the rank an order of the controller of the latest term.
+func (rankService *rankService) Order(request OrderRequest, reply *OrderReply) error {
+	if request.Life != rankService.life {
+		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonWrongIncarnation, "this agent has restarted"))
+	}
+	rankService.orders.Lock()
+	defer rankService.orders.Unlock()
+	if err := rankService.follow(request.Term); err != nil {
+		return caller.EncodeError(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	answer, err := rankService.rank.Order(ctx, request.Order)
+	if err != nil {
+		answer = cranberryward.OrderUnknown
+	}
+	reply.Answer = answer
+	return nil
+}
+
+// follow takes over a later term and refuses an earlier one.
+func (rankService *rankService) follow(term uint64) error {
+	rankService.mutex.Lock()
+	defer rankService.mutex.Unlock()
+	if term < rankService.term {
+		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonFenced, "a later term has begun")
+	}
+	rankService.term, rankService.heard = term, time.Now()
+	return nil
+}
+
+// silence returns how long no controller was heard.
+func (rankService *rankService) silence() time.Duration {
+	rankService.mutex.Lock()
+	defer rankService.mutex.Unlock()
+	return time.Since(rankService.heard)
+}
+
+// observe asks a rank for what a question names.
+func observe(rank *platform.Rank, question steward.Question) (steward.Observation, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), localTimeout)
+	defer cancel()
+	report, err := rank.Report(ctx)
+	if err != nil {
+		return steward.Observation{}, err
+	}
+	observation := steward.Observation{Report: report}
+	if question.Counts {
+		counts, epoch, err := rank.Counts(ctx)
+		if err != nil {
+			return steward.Observation{}, err
+		}
+		if epoch == report.Epoch {
+			observation.Counts = counts
+		}
+	}
+	if question.Placement {
+		observation.PlacementVersion, observation.Placement, err = rank.Placement(ctx)
+		if err != nil {
+			return steward.Observation{}, err
+		}
+	}
+	return observation, nil
+}
--- /dev/null
+++ b/gateway/entry/callers.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// callerListener serves callers' connections, each under the limits that were in force when it was accepted.
+type callerListener struct {
+	listener net.Listener
+	handler  http.Handler
+	limits   func() cranberryward.RequestLimits
+
+	mutex   sync.Mutex
+	current cranberryward.RequestLimits
+	queue   *connectionQueue
+	servers []*http.Server
+}
+
+func newCallerListener(listener net.Listener, handler http.Handler, limits func() cranberryward.RequestLimits) *callerListener {
+	return &callerListener{
+		listener: listener,
+		handler:  handler,
+		limits:   limits,
+	}
+}
+
+// run accepts connections until the listener is closed.
+func (callerListener *callerListener) run() {
+	for {
+		connection, err := callerListener.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond) // out of descriptors for a moment, as other errors of accept pass too
+			continue
+		}
+		callerListener.queueFor(callerListener.limits()).connections <- connection
+	}
+}
+
+// queueFor returns the queue of the server with the given limits.
+func (callerListener *callerListener) queueFor(limits cranberryward.RequestLimits) *connectionQueue {
+	callerListener.mutex.Lock()
+	defer callerListener.mutex.Unlock()
+	if callerListener.queue != nil && callerListener.current == limits {
+		return callerListener.queue
+	}
+	callerListener.current = limits
+	callerListener.queue = &connectionQueue{
+		connections: make(chan net.Conn, 64),
+		address:     callerListener.listener.Addr(),
+		closed:      make(chan struct{}),
+	}
+	server := &http.Server{
+		Handler:           callerListener.handler,
+		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeader),
+		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdle),
+		MaxHeaderBytes:    max(limits.HeaderBytes, http.DefaultMaxHeaderBytes/16) + headerAllowance,
+	}
+	callerListener.servers = append(callerListener.servers, server)
+	queue := callerListener.queue
+	go func() { _ = server.Serve(queue) }() // returns when the server is closed at the end
+	return queue
+}
+
+func orDefault(value, otherwise time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// stop closes the listener and all connections.
+func (callerListener *callerListener) stop() {
+	_ = callerListener.listener.Close() // the process ends next
+	callerListener.mutex.Lock()
+	defer callerListener.mutex.Unlock()
+	for _, server := range callerListener.servers {
+		_ = server.Close() // the process ends next
+	}
+}
+
+// connectionQueue hands accepted connections to one server.
+type connectionQueue struct {
+	connections chan net.Conn
+	address     net.Addr
+	closed      chan struct{}
+	once        sync.Once
+}
+
+// Accept returns the next connection.
+func (connectionQueue *connectionQueue) Accept() (net.Conn, error) {
+	select {
+	case connection := <-connectionQueue.connections:
+		return connection, nil
+	case <-connectionQueue.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the queue.
+func (connectionQueue *connectionQueue) Close() error {
+	connectionQueue.once.Do(func() { close(connectionQueue.closed) })
+	return nil
+}
+
+// Addr returns the address at which the connections were accepted.
+func (connectionQueue *connectionQueue) Addr() net.Addr { return connectionQueue.address }
--- /dev/null
+++ b/gateway/entry/entry.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/forwarder"
+	"github.com/cranberryward/cranberryward/gateway/agent"
+	"github.com/cranberryward/cranberryward/gateway/settings"
+	"github.com/cranberryward/cranberryward/platform"
+	"github.com/cranberryward/cranberryward/relayer"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// refresh is the age of the belief at which an entry reads the store; with its spread it stays well under the bounds for configuration and drain.
+	refresh = 450 * time.Millisecond
+	// shareInterval is how often the load that other entries told of is taken over and idle connections are swept.
+	shareInterval = 250 * time.Millisecond
+	// rotationTime is how long the platform may still send new connections after the entry has said that it is not ready: two questions, one a second.
+	rotationTime = 2500 * time.Millisecond
+	// quietTime is how long nothing must be in flight before a stopping entry ends.
+	quietTime = 300 * time.Millisecond
+	// graceReserve is the part of the grace period left for ending itself.
+	graceReserve = 500 * time.Millisecond
+	// defaultIdle and defaultHeader apply before a configuration states limits for callers' connections.
+	defaultIdle   = 15 * time.Second
+	defaultHeader = 3 * time.Second
+	// headerAllowance is added to the stated limit for headers, as this side counts the request line too.
+	headerAllowance = 4 << 10
+)
+
+// Entry is the process that callers reach.
+type Entry struct {
+	settings  settings.Settings
+	logger    log.Logger
+	calls     *caller.Client
+	server    *caller.Server
+	relayer   *relayer.Relayer
+	forwarder *forwarder.Forwarder
+	callers   *callerListener
+	listeners []net.Listener
+	stopping  atomic.Bool
+	mostSeen  atomic.Int64
+
+	mutex  sync.Mutex
+	limits cranberryward.RequestLimits
+	cancel context.CancelFunc
+}
+
+// New returns an entry that is not started.
+func New(settings settings.Settings, logger log.Logger) (*Entry, error) {
+	entry := &Entry{
+		settings: settings,
+		logger:   logger,
+		calls:    caller.NewClient(""),
+	}
+	entry.forwarder = forwarder.New(forwarder.Options{
+		Zone:        settings.Zone,
+		Drain:       settings.Drain(),
+		RetryRatio:  settings.RetryRatio,
+		RetrySlack:  settings.RetrySlack,
+		RetryWindow: settings.RetryWindow(),
+		Entries:     entry.entries,
+		Logger:      logger,
+	})
+	server, err := caller.NewServer(settings.PeerAddress(), "")
+	if err != nil {
+		return nil, err
+	}
+	entry.server = server
+	entry.relayer, err = relayer.New(relayer.Options{
+		Instance:   settings.Instance,
+		Zone:       settings.Zone,
+		Address:    settings.PeerAddress(),
+		Entry:      true,
+		Seeds:      settings.SeedPeers(),
+		Refresh:    refresh,
+		Neighbours: agent.Neighbours(settings),
+		Changed:    entry.take,
+		Running:    entry.forwarder.Running,
+		Logger:     logger,
+	}, platform.NewStore(settings.Store), entry.calls)
+	if err != nil {
+		return nil, err
+	}
+	return entry, server.Register("Belief", entry.relayer)
+}
+
+// Start brings the entry up.
+func (entry *Entry) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	entry.cancel = cancel
+	entry.server.Start()
+	callers, err := net.Listen("tcp", entry.settings.Callers)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	entry.callers = newCallerListener(callers, entry.forwarder, entry.currentLimits)
+	go entry.callers.run()
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/ready", entry.answerReady).Methods(http.MethodGet)
+	for _, address := range []string{entry.settings.Ready, entry.settings.Control} {
+		if address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		entry.listeners = append(entry.listeners, listener)
+		go func() {
+			server := &http.Server{
+				Handler:           router,
+				ReadHeaderTimeout: defaultHeader,
+			}
+			_ = server.Serve(listener) // returns when the listener is closed at the end
+		}()
+	}
+	go entry.relayer.Run(ctx)
+	go entry.share(ctx)
+	return nil
+}
+
+// answerReady says whether new connections should come here.
+func (entry *Entry) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	if entry.stopping.Load() || !entry.forwarder.Configured() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// take takes over a belief that has changed.
+func (entry *Entry) take(_, now *relayer.Belief) {
+	entry.forwarder.Configure(now.View)
+	if now.Deployment == nil {
+		return
+	}
+	entry.mutex.Lock()
+	entry.limits = now.Deployment.Limits
+	entry.mutex.Unlock()
+}
+
+func (entry *Entry) currentLimits() cranberryward.RequestLimits {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	return entry.limits
+}
+
+// share takes over what the other entries told of their load.
+func (entry *Entry) share(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		others := map[string]int{}
+		entries := int64(1)
+		for _, notice := range entry.relayer.Present() {
+			if !notice.Entry {
+				continue
+			}
+			entries++
+			for id, running := range notice.Running {
+				others[id] += running
+			}
+		}
+		entry.mostSeen.Store(max(entries, entry.mostSeen.Load()))
+		entry.forwarder.Share(others)
+		entry.forwarder.Sweep()
+	}
+}
+
+// entries returns over how many entries the retry budget is spread: the most seen at once, as some may be out of sight.
+func (entry *Entry) entries() int { return int(entry.mostSeen.Load()) }
+
+// Reload takes over settings that changed; addresses stay until the next start.
+func (entry *Entry) Reload(settings.Settings) {}
+
+// Stop ends the entry once all that it has taken on is answered, within the grace period.
+func (entry *Entry) Stop(ctx context.Context) error {
+	entry.stopping.Store(true)
+	entry.forwarder.Stop()
+	entry.relayer.Leave()
+	_ = level.Info(entry.logger).Log("event", "stopping", "in_flight", entry.forwarder.InFlight())
+	begun := time.Now()
+	deadline := begun.Add(entry.settings.Grace() - graceReserve)
+	quietSince := begun
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		now := time.Now()
+		if entry.forwarder.InFlight() > 0 {
+			quietSince = now
+		}
+		if now.Sub(begun) > rotationTime && now.Sub(quietSince) > quietTime {
+			break
+		}
+		time.Sleep(quietTime / 6)
+	}
+	_ = level.Info(entry.logger).Log("event", "stopped", "in_flight", entry.forwarder.InFlight(), "after_ms", time.Since(begun).Milliseconds())
+	entry.callers.stop()
+	for _, listener := range entry.listeners {
+		_ = listener.Close() // nothing is served on it any more
+	}
+	entry.cancel()
+	entry.server.Stop()
+	return nil
+}
--- /dev/null
+++ b/gateway/settings/settings.go
@@ -0,0 +1,129 @@
+// Package settings reads what a process of the gateway is told at its start and on each reload.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Variable is the environment variable that holds the path of the settings file.
+const Variable = "CRANBERRYWARD_SETTINGS"
+
+// Settings are the settings of one process; times are in the unit of their name.
+type Settings struct {
+	Instance            string   `json:"instance"`
+	Zone                string   `json:"zone"`
+	Address             string   `json:"address"`
+	FirstPort           int      `json:"first_port"`
+	Seeds               []string `json:"seeds"`
+	Callers             string   `json:"callers"`
+	Ready               string   `json:"ready"`
+	Control             string   `json:"control"`
+	Rank                string   `json:"rank"`
+	Service             string   `json:"service"`
+	MemoryMB            int64    `json:"memory_mb"`
+	Descriptors         int      `json:"descriptors"`
+	Store               string   `json:"store"`
+	StoreMinimumLeaseMS int64    `json:"store_minimum_lease_ms"`
+	DrainMS             int64    `json:"drain_ms"`
+	GraceSeconds        float64  `json:"grace_s"`
+	ConfigurationMS     int64    `json:"configuration_ms"`
+	StableMS            int64    `json:"stable_ms"`
+	RetryRatio          float64  `json:"retry_ratio"`
+	RetryWindowSeconds  float64  `json:"retry_window_s"`
+	RetrySlack          float64  `json:"retry_slack"`
+	StallMS             int64    `json:"stall_ms"`
+}
+
+// Load reads and checks the settings file.
+func Load(path string) (Settings, error) {
+	var settings Settings
+	if path == "" {
+		return settings, eris.Errorf("set %s to the path of the settings file", Variable)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings, eris.Wrap(err, "read the settings file")
+	}
+	if err := json.Unmarshal(text, &settings); err != nil {
+		return settings, eris.Wrapf(err, "settings file %s", path)
+	}
+	return settings, settings.Check()
+}
+
+// Check returns all faults of the settings at once.
+func (settings Settings) Check() error {
+	var faults []error
+	require := func(good bool, name string, value any, expected string) {
+		if !good {
+			faults = append(faults, fmt.Errorf("%s: %v, expected %s", name, value, expected))
+		}
+	}
+	require(settings.Instance != "", "instance", strconv.Quote(settings.Instance), "a name")
+	require(net.ParseIP(settings.Address) != nil, "address", strconv.Quote(settings.Address), "an IP address")
+	require(settings.FirstPort > 0 && settings.FirstPort < 1<<16, "first_port", settings.FirstPort, "a port from 1 to 65535")
+	require(isAddress(settings.Store), "store", strconv.Quote(settings.Store), "HOST:PORT")
+	require(settings.MemoryMB > 0, "memory_mb", settings.MemoryMB, "more than 0 MB")
+	require(settings.DrainMS > 0, "drain_ms", settings.DrainMS, "more than 0 ms")
+	require(settings.GraceSeconds > 0, "grace_s", settings.GraceSeconds, "more than 0 s")
+	require(settings.RetryRatio >= 0, "retry_ratio", settings.RetryRatio, "0 or more")
+	require(settings.RetryWindowSeconds > 0, "retry_window_s", settings.RetryWindowSeconds, "more than 0 s")
+	for _, optional := range []struct{ name, value string }{{"callers", settings.Callers}, {"ready", settings.Ready}, {"control", settings.Control}, {"rank", settings.Rank}} {
+		require(optional.value == "" || isAddress(optional.value), optional.name, strconv.Quote(optional.value), "HOST:PORT or nothing")
+	}
+	for _, seed := range settings.Seeds {
+		require(isAddress(seed), "seeds", strconv.Quote(seed), "HOST:PORT")
+	}
+	return errors.Join(faults...)
+}
+
+func isAddress(text string) bool {
+	_, _, err := net.SplitHostPort(text)
+	return err == nil
+}
+
+// PeerAddress returns where the other processes of the system reach this one.
+func (settings Settings) PeerAddress() string { return settings.PeerAt(settings.Address) }
+
+// PeerAt returns where a process of the system on another instance is reached, as ports are the same on all instances.
+func (settings Settings) PeerAt(host string) string {
+	return net.JoinHostPort(host, strconv.Itoa(settings.FirstPort))
+}
+
+// SeedPeers returns where the processes on the seed instances are reached.
+func (settings Settings) SeedPeers() []string {
+	var peers []string
+	for _, seed := range settings.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			peers = append(peers, settings.PeerAt(host))
+		}
+	}
+	return peers
+}
+
+// Drain returns how long after the store's word a leaving backend server may still receive requests.
+func (settings Settings) Drain() time.Duration {
+	return time.Duration(settings.DrainMS) * time.Millisecond
+}
+
+// Grace returns how long a process may run on after it was asked to stop.
+func (settings Settings) Grace() time.Duration {
+	return time.Duration(settings.GraceSeconds * float64(time.Second))
+}
+
+// ConfigurationBound returns how soon an accepted configuration is to be in force.
+func (settings Settings) ConfigurationBound() time.Duration {
+	return time.Duration(settings.ConfigurationMS) * time.Millisecond
+}
+
+// RetryWindow returns the span over which the retry budget is counted.
+func (settings Settings) RetryWindow() time.Duration {
+	return time.Duration(settings.RetryWindowSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/planner/increment.go
@@ -0,0 +1,222 @@
+package planner
+
+import "math"
+
+// crowding is the exponent with which a rank's load counts: high enough that the most loaded ranks decide, and smooth where several are level.
+const crowding = 8
+
+// busiestRanks is how many of the most loaded ranks an increment relieves at each step of its search.
+const busiestRanks = 3
+
+// Increment bounds one small change of a placement.
+type Increment struct {
+	// Places is how many experts of a layer a rank can hold.
+	Places int
+	// Newcomers is how many experts of a layer a rank may take in with one change.
+	Newcomers int
+	// MinimumGain is the share of the crowding that each step must remove.
+	MinimumGain float64
+}
+
+// Improve returns a placement of one layer that a rank can reach by copying a few experts, and how many are copied in all.
+func (increment Increment) Improve(placement [][]int, loads []float64) (improved [][]int, copies int) {
+	search := newIncrementSearch(increment, placement, loads)
+	for {
+		step, found := search.best()
+		if !found {
+			return search.placement, search.copies
+		}
+		search.apply(step)
+	}
+}
+
+type incrementSearch struct {
+	increment Increment
+	loads     []float64
+	placement [][]int
+	held      [][]bool
+	original  [][]bool
+	counts    []int
+	totals    []float64
+	newcomers []int
+	copies    int
+	scale     float64
+}
+
+// incrementStep gives a rank an expert, in a free place where out is negative and in place of another expert otherwise.
+type incrementStep struct {
+	rank, in, out int
+	gain          float64
+}
+
+func newIncrementSearch(increment Increment, placement [][]int, loads []float64) *incrementSearch {
+	search := &incrementSearch{
+		increment: increment,
+		loads:     loads,
+		placement: make([][]int, len(placement)),
+		held:      make([][]bool, len(placement)),
+		original:  make([][]bool, len(placement)),
+		counts:    make([]int, len(loads)),
+		totals:    make([]float64, len(placement)),
+		newcomers: make([]int, len(placement)),
+	}
+	total := 0.0
+	for rank, experts := range placement {
+		search.placement[rank] = append([]int(nil), experts...)
+		search.held[rank] = make([]bool, len(loads))
+		search.original[rank] = make([]bool, len(loads))
+		for _, expert := range experts {
+			search.counts[expert]++
+			search.held[rank][expert], search.original[rank][expert] = true, true
+		}
+	}
+	for rank, experts := range placement {
+		for _, expert := range experts {
+			search.totals[rank] += loads[expert] / float64(search.counts[expert])
+		}
+		total += search.totals[rank]
+	}
+	if total > 0 {
+		search.scale = float64(len(placement)) / total
+	}
+	return search
+}
+
+func (search *incrementSearch) crowd(total float64) float64 {
+	level := total * search.scale
+	level *= level
+	level *= level
+	return level * level
+}
+
+// best returns the step that removes the most crowding.
+func (search *incrementSearch) best() (incrementStep, bool) {
+	crowded := 0.0
+	for _, total := range search.totals {
+		crowded += search.crowd(total)
+	}
+	best := incrementStep{gain: search.increment.MinimumGain * crowded}
+	found := false
+	for _, in := range search.hot() {
+		for rank := range search.placement {
+			if search.held[rank][in] {
+				continue
+			}
+			returning := search.original[rank][in]
+			if !returning && search.newcomers[rank] >= search.increment.Newcomers {
+				continue
+			}
+			if len(search.placement[rank]) < search.increment.Places {
+				search.consider(&best, &found, rank, in, -1)
+			}
+			for _, out := range search.placement[rank] {
+				if search.counts[out] > 1 {
+					search.consider(&best, &found, rank, in, out)
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// hot returns the experts of the most loaded ranks.
+func (search *incrementSearch) hot() []int {
+	taken := map[int]bool{}
+	var experts []int
+	last := math.Inf(1)
+	for range min(busiestRanks, len(search.totals)) {
+		busiest := -1
+		for rank, total := range search.totals {
+			if !taken[rank] && total <= last && (busiest < 0 || total > search.totals[busiest]) {
+				busiest = rank
+			}
+		}
+		if busiest < 0 {
+			break
+		}
+		taken[busiest], last = true, search.totals[busiest]
+		for _, expert := range search.placement[busiest] {
+			if search.loads[expert] > 0 && !holds(experts, expert) {
+				experts = append(experts, expert)
+			}
+		}
+	}
+	return experts
+}
+
+// consider weighs one step by the crowding of the ranks that it touches.
+func (search *incrementSearch) consider(best *incrementStep, found *bool, rank, in, out int) {
+	newIn := search.loads[in] / float64(search.counts[in]+1)
+	change := newIn - search.loads[in]/float64(search.counts[in])
+	leaving, spread := 0.0, 0.0
+	if out >= 0 {
+		leaving = search.loads[out] / float64(search.counts[out])
+		spread = search.loads[out]/float64(search.counts[out]-1) - leaving
+	}
+	gain := search.crowd(search.totals[rank]) - search.crowd(search.totals[rank]+newIn-leaving)
+	gain += search.relief(rank, in, out, change, spread)
+	if gain > best.gain {
+		*found = true
+		*best = incrementStep{
+			rank: rank,
+			in:   in,
+			out:  out,
+			gain: gain,
+		}
+	}
+}
+
+// relief returns the crowding that a step removes from the ranks other than the one that takes the expert in.
+func (search *incrementSearch) relief(rank, in, out int, change, spread float64) float64 {
+	relief := 0.0
+	for other, total := range search.totals {
+		if other == rank {
+			continue
+		}
+		after := total
+		if search.held[other][in] {
+			after += change
+		}
+		if out >= 0 && search.held[other][out] {
+			after += spread
+		}
+		if after != total {
+			relief += search.crowd(total) - search.crowd(after)
+		}
+	}
+	return relief
+}
+
+func (search *incrementSearch) apply(step incrementStep) {
+	if step.out >= 0 {
+		for i, expert := range search.placement[step.rank] {
+			if expert == step.out {
+				search.placement[step.rank][i] = step.in
+			}
+		}
+		search.held[step.rank][step.out] = false
+		search.counts[step.out]--
+		if !search.original[step.rank][step.out] {
+			search.newcomers[step.rank]--
+			search.copies--
+		}
+	} else {
+		search.placement[step.rank] = append(search.placement[step.rank], step.in)
+	}
+	search.held[step.rank][step.in] = true
+	search.counts[step.in]++
+	if !search.original[step.rank][step.in] {
+		search.newcomers[step.rank]++
+		search.copies++
+	}
+	search.sumUp()
+}
+
+func (search *incrementSearch) sumUp() {
+	for rank, experts := range search.placement {
+		search.totals[rank] = 0
+		for _, expert := range experts {
+			search.totals[rank] += search.loads[expert] / float64(search.counts[expert])
+		}
+	}
+}
--- /dev/null
+++ b/relayer/closed.go
@@ -0,0 +1,8 @@
+package relayer
+
+import (
+	"errors"
+	"net"
+)
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/relayer/peers.go
@@ -0,0 +1,220 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// tellInterval is how often a process tells its peers of itself.
+	tellInterval = 500 * time.Millisecond
+	// peerExpiry is how long a silent peer counts as present: five notices may be lost.
+	peerExpiry = 6 * tellInterval
+	// peerMemory is how long a silent peer is still sought, as after a partition.
+	peerMemory = time.Minute
+	// seekLimit bounds the unheard addresses that are tried with one notice round.
+	seekLimit = 4
+	// maxNotice is the largest datagram taken, the largest that UDP carries.
+	maxNotice = 64 << 10
+	// maxPeersTold bounds the addresses named in a notice.
+	maxPeersTold = 128
+)
+
+// listen takes in the notices of peers until the socket is closed.
+func (relayer *Relayer) listen() {
+	buffer := make([]byte, maxNotice)
+	for {
+		n, _, err := relayer.socket.ReadFromUDP(buffer)
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			continue
+		}
+		var notice Notice
+		if json.Unmarshal(buffer[:n], &notice) != nil || notice.From == "" || notice.From == relayer.options.Address {
+			continue
+		}
+		relayer.hear(notice)
+	}
+}
+
+func (relayer *Relayer) hear(notice Notice) {
+	now := time.Now()
+	relayer.mutex.Lock()
+	known := relayer.peers[notice.From]
+	if known == nil {
+		known = &peer{}
+		relayer.peers[notice.From] = known
+	}
+	known.notice, known.heard = notice, now
+	for _, address := range notice.Peers {
+		if relayer.peers[address] == nil && address != relayer.options.Address {
+			relayer.peers[address] = &peer{}
+		}
+	}
+	newer := relayer.belief == nil || notice.At > relayer.belief.At
+	same := relayer.belief != nil && notice.Content == relayer.belief.Content
+	readAt := now.Add(-time.Duration(notice.AgeMS) * time.Millisecond)
+	if same && !newer && notice.At == relayer.belief.At && readAt.After(relayer.readAt) {
+		relayer.readAt = readAt
+	}
+	if newer && same {
+		belief := *relayer.belief
+		belief.At = notice.At
+		relayer.belief = &belief
+		if readAt.After(relayer.readAt) {
+			relayer.readAt = readAt
+		}
+	}
+	fetch := newer && !same && notice.At > 0 && !relayer.fetching[notice.From]
+	if fetch {
+		relayer.fetching[notice.From] = true
+	}
+	relayer.mutex.Unlock()
+	if fetch {
+		go relayer.fetch(notice.From)
+	}
+}
+
+// fetch takes over the belief of a peer that knows more.
+func (relayer *Relayer) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	var reply FetchReply
+	err := relayer.calls.Call(ctx, address, "Belief.Fetch", FetchRequest{}, &reply)
+	relayer.mutex.Lock()
+	delete(relayer.fetching, address)
+	relayer.mutex.Unlock()
+	if err != nil {
+		_ = level.Info(relayer.options.Logger).Log("event", "belief_fetch_failed", "peer", address, "error", err)
+		return
+	}
+	relayer.adopt(reply.Belief, time.Now().Add(-reply.Age), address)
+}
+
+// tell sends notices regularly.
+func (relayer *Relayer) tell(ctx context.Context) {
+	ticker := time.NewTicker(tellInterval)
+	defer ticker.Stop()
+	relayer.announce(true)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		relayer.announce(false)
+	}
+}
+
+// announce sends a notice to every present peer and to a few addresses that were not heard from.
+func (relayer *Relayer) announce(urgent bool) {
+	notice, present, absent := relayer.compose()
+	if urgent && len(present) == 0 {
+		present = append(present, absent...)
+	} else {
+		rand.Shuffle(len(absent), func(i, j int) { absent[i], absent[j] = absent[j], absent[i] })
+		present = append(present, absent[:min(len(absent), seekLimit)]...)
+	}
+	text, err := json.Marshal(notice)
+	if err != nil {
+		_ = level.Error(relayer.options.Logger).Log("event", "notice_unencodable", "error", err)
+		return
+	}
+	for _, address := range present {
+		if target, err := net.ResolveUDPAddr("udp4", address); err == nil {
+			_, _ = relayer.socket.WriteToUDP(text, target) // a lost notice is made good by the next one
+		}
+	}
+}
+
+func (relayer *Relayer) compose() (notice Notice, present, absent []string) {
+	var running map[string]int
+	if relayer.options.Running != nil {
+		running = relayer.options.Running()
+	}
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	now := time.Now()
+	for address, peer := range relayer.peers {
+		switch {
+		case !peer.heard.IsZero() && now.Sub(peer.heard) < peerExpiry:
+			present = append(present, address)
+		case !peer.heard.IsZero() && now.Sub(peer.heard) > peerMemory:
+			delete(relayer.peers, address)
+		}
+	}
+	absent = relayer.unheard(present)
+	notice = Notice{
+		From:     relayer.options.Address,
+		Instance: relayer.options.Instance,
+		Entry:    relayer.options.Entry,
+		Zone:     relayer.options.Zone,
+		Running:  running,
+		Leaving:  relayer.leaving,
+		Peers:    present[:min(len(present), maxPeersTold)],
+	}
+	if relayer.belief != nil {
+		notice.At, notice.Content = relayer.belief.At, relayer.belief.Content
+		notice.AgeMS = now.Sub(relayer.readAt).Milliseconds()
+	}
+	return notice, slices.Clone(present), absent
+}
+
+// unheard returns the addresses at which a process may be and from which no notice comes.
+func (relayer *Relayer) unheard(present []string) []string {
+	candidates := map[string]bool{}
+	for _, seed := range relayer.options.Seeds {
+		candidates[seed] = true
+	}
+	if relayer.belief != nil && relayer.options.Neighbours != nil {
+		for _, address := range relayer.options.Neighbours(relayer.belief) {
+			candidates[address] = true
+		}
+	}
+	for address := range relayer.peers {
+		candidates[address] = true
+	}
+	for _, address := range present {
+		delete(candidates, address)
+	}
+	delete(candidates, relayer.options.Address)
+	return slices.Sorted(maps.Keys(candidates))
+}
+
+// Leave tells peers that this process is about to end.
+func (relayer *Relayer) Leave() {
+	relayer.mutex.Lock()
+	relayer.leaving = true
+	relayer.mutex.Unlock()
+	relayer.announce(false)
+}
+
+// Present returns the last notices of the peers that are heard from.
+func (relayer *Relayer) Present() []Notice {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	var notices []Notice
+	now := time.Now()
+	for _, peer := range relayer.peers {
+		if !peer.heard.IsZero() && now.Sub(peer.heard) < peerExpiry {
+			notices = append(notices, peer.notice)
+		}
+	}
+	return notices
+}
+
+// Reads returns how many reads of the store were begun and how many of them failed.
+func (relayer *Relayer) Reads() (reads, failures int) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return relayer.reads, relayer.failures
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,216 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// readTimeout bounds a read of the store, which answers in milliseconds, so that another process can read instead.
+	readTimeout = 600 * time.Millisecond
+	// slowReadTimeout is used after reads that timed out, as a slow store still serves those that wait.
+	slowReadTimeout = 3 * time.Second
+	// fetchTimeout bounds taking over a peer's belief.
+	fetchTimeout = 500 * time.Millisecond
+	// firstReadSpread keeps processes that start together from reading at the same moment.
+	firstReadSpread = 100 * time.Millisecond
+	// shortestRetry and longestRetry are the pauses after failed reads; the longest stays under the bound for a configuration.
+	shortestRetry = 200 * time.Millisecond
+	longestRetry  = 1200 * time.Millisecond
+)
+
+var errNothingKnown = eris.New("nothing is known yet")
+
+// Options say how a process takes part.
+type Options struct {
+	Instance string
+	Zone     string
+	Address  string
+	Entry    bool
+	Seeds    []string
+	// Refresh is the age of the belief at which the process reads the store itself; another process's read resets it.
+	Refresh time.Duration
+	// Neighbours returns addresses at which processes of the system may be reached, derived from a belief.
+	Neighbours func(belief *Belief) []string
+	// Changed is called with each belief whose content differs from the one before, in order.
+	Changed func(before, now *Belief)
+	// Running returns the requests of this entry at each backend server.
+	Running func() map[string]int
+	Logger  log.Logger
+}
+
+// Relayer keeps a belief current.
+type Relayer struct {
+	options Options
+	source  cranberryward.ViewSource
+	calls   *caller.Client
+	socket  *net.UDPConn
+
+	mutex    sync.Mutex
+	belief   *Belief
+	readAt   time.Time
+	peers    map[string]*peer
+	wake     chan struct{}
+	fetching map[string]bool
+	leaving  bool
+
+	reads, failures int
+}
+
+type peer struct {
+	notice Notice
+	heard  time.Time
+}
+
+// New returns a relayer that listens for notices on the options' address.
+func New(options Options, source cranberryward.ViewSource, calls *caller.Client) (*Relayer, error) {
+	address, err := net.ResolveUDPAddr("udp4", options.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "address for notices")
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for notices")
+	}
+	return &Relayer{
+		options:  options,
+		source:   source,
+		calls:    calls,
+		socket:   socket,
+		peers:    map[string]*peer{},
+		wake:     make(chan struct{}, 1),
+		fetching: map[string]bool{},
+	}, nil
+}
+
+// Run keeps the belief current until the context ends.
+func (relayer *Relayer) Run(ctx context.Context) {
+	go relayer.listen()
+	go relayer.tell(ctx)
+	relayer.refresh(ctx)
+	_ = relayer.socket.Close()
+}
+
+// Belief returns the present belief and its age; it is nil before anything is known.
+func (relayer *Relayer) Belief() (*Belief, time.Duration) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return relayer.belief, time.Since(relayer.readAt)
+}
+
+// Fetch answers a peer that asks for the belief.
+func (relayer *Relayer) Fetch(_ FetchRequest, reply *FetchReply) error {
+	reply.Belief, reply.Age = relayer.Belief()
+	if reply.Belief == nil {
+		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnavailable, "nothing is known here yet"))
+	}
+	return nil
+}
+
+// refresh reads the store whenever the belief has grown old.
+func (relayer *Relayer) refresh(ctx context.Context) {
+	pause := time.Duration(rand.Int64N(int64(firstReadSpread)))
+	retry := shortestRetry
+	timeout := readTimeout
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if pause = relayer.untilDue(); pause > 0 {
+			continue
+		}
+		err := relayer.read(ctx, timeout)
+		if err == nil {
+			retry, timeout = shortestRetry, readTimeout
+			pause = relayer.untilDue()
+			continue
+		}
+		if eris.Is(err, context.DeadlineExceeded) {
+			timeout = slowReadTimeout
+		}
+		pause = retry/2 + time.Duration(rand.Int64N(int64(retry)))
+		retry = min(2*retry, longestRetry)
+	}
+}
+
+// untilDue returns how long the belief stays fresh enough, spread so that one process reads and the others take over.
+func (relayer *Relayer) untilDue() time.Duration {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	if relayer.belief == nil {
+		return 0
+	}
+	due := relayer.options.Refresh - time.Since(relayer.readAt)
+	if due <= 0 {
+		return 0
+	}
+	return due + time.Duration(rand.Int64N(int64(relayer.options.Refresh/2)))
+}
+
+func (relayer *Relayer) read(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begun := time.Now()
+	present, _ := relayer.Belief()
+	var next cranberryward.View
+	err := errNothingKnown
+	if present != nil {
+		next, err = relayer.source.UpdateView(ctx, present.View)
+	}
+	if err != nil && ctx.Err() == nil {
+		if present != nil {
+			_ = level.Info(relayer.options.Logger).Log("event", "store_update_failed", "error", err)
+		}
+		next, err = relayer.source.ReadView(ctx)
+	}
+	relayer.mutex.Lock()
+	relayer.reads++
+	if err != nil {
+		relayer.failures++
+	}
+	relayer.mutex.Unlock()
+	if err != nil {
+		_ = level.Warn(relayer.options.Logger).Log("event", "store_read_failed", "error", err)
+		return err
+	}
+	relayer.adopt(newBelief(next), begun, "store")
+	relayer.announce(true)
+	return nil
+}
+
+// adopt takes over a belief that is newer than the present one.
+func (relayer *Relayer) adopt(next *Belief, readAt time.Time, from string) {
+	relayer.mutex.Lock()
+	before := relayer.belief
+	if before != nil && next.At < before.At {
+		relayer.mutex.Unlock()
+		return
+	}
+	relayer.belief = next
+	if readAt.After(relayer.readAt) {
+		relayer.readAt = readAt
+	}
+	changed := before == nil || before.Content != next.Content
+	if changed && relayer.options.Changed != nil {
+		relayer.options.Changed(before, next)
+	}
+	relayer.mutex.Unlock()
+	if changed {
+		version := uint64(0)
+		if next.Deployment != nil {
+			version = next.Deployment.Version
+		}
+		_ = level.Info(relayer.options.Logger).Log("event", "belief_changed", "from", from, "at", next.At, "configuration", version, "servers", len(next.Servers), "age_ms", time.Since(readAt).Milliseconds())
+	}
+}
--- /dev/null
+++ b/steward/change.go
@@ -0,0 +1,225 @@
+package steward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// firstLead is how many passes ahead a change is armed at first; it grows when arming takes longer.
+	firstLead   = 3
+	longestLead = 12
+	// orderAttempts bounds the repeats of one order whose answers are lost.
+	orderAttempts = 12
+	// copyPoll is how often the ranks are asked whether their copies are complete.
+	copyPoll = 25 * time.Millisecond
+	// copyPatience is how long past the expected time a copy may take before the change is given up.
+	copyPatience = 1500 * time.Millisecond
+	// settlePause lets a report that may be some hundred milliseconds old catch up.
+	settlePause = 400 * time.Millisecond
+	// switchPatience bounds the wait for a pass that a loaded group begins within a fraction of a second.
+	switchPatience = time.Second
+)
+
+// errEpochEnded means that the group broke, which undoes all that was prepared, armed or held.
+var errEpochEnded = eris.New("the group has formed anew")
+
+// change brings a map into force: prepared on all ranks, one rank held before a pass, armed on all for it, and only then let go.
+// No pass can begin with the map armed on some ranks only, however late or lost any order is.
+func (steward *Steward) change(ctx context.Context, next [][][]int, copies int, engine *cranberryward.EngineModel) error {
+	version := steward.nextVersion()
+	begun := time.Now()
+	if err := steward.prepare(ctx, version, next, time.Duration(copies)*engine.CopyTime()); err != nil {
+		return eris.Wrap(err, "prepare a map")
+	}
+	prepared := time.Now()
+	step := steward.highestStep() + steward.lead
+	holder := rand.IntN(len(steward.ranks))
+	hold := cranberryward.RankOrder{Kind: cranberryward.RankHold, Step: step}
+	held, err := steward.order(ctx, holder, hold, func(report cranberryward.RankReport) bool { return report.Held == step })
+	if err != nil {
+		return eris.Wrap(err, "hold the group")
+	}
+	if !held {
+		steward.lead = min(steward.lead+1, longestLead)
+		return eris.New("the pass to hold had begun")
+	}
+	arming := time.Now()
+	if err := steward.arm(ctx, version, step); err != nil {
+		return eris.Wrap(err, "arm a map")
+	}
+	steward.learnLead(time.Since(arming))
+	if err := steward.release(ctx, holder, step); err != nil {
+		return eris.Wrap(err, "let the group go")
+	}
+	steward.placement, steward.version = next, version
+	steward.changes++
+	_ = level.Debug(steward.logger).Log("event", "map_armed", "version", version, "step", step, "copies", copies,
+		"prepare_ms", prepared.Sub(begun).Milliseconds(), "arm_ms", time.Since(prepared).Milliseconds(), "lead", steward.lead, "pass_ms", steward.passTime.Milliseconds())
+	return steward.awaitSwitch(ctx, version)
+}
+
+// learnLead arms as far ahead as arming took of late, so that the group is not held up.
+func (steward *Steward) learnLead(took time.Duration) {
+	if steward.passTime <= 0 {
+		return
+	}
+	needed := min(uint64(took/steward.passTime)+2, longestLead)
+	if needed > steward.lead {
+		steward.lead = needed
+	} else if steward.lead > needed && rand.IntN(4) == 0 {
+		steward.lead--
+	}
+}
+
+// prepare lets all ranks copy what a map needs and waits until each has reported it complete.
+func (steward *Steward) prepare(ctx context.Context, version uint64, next [][][]int, expected time.Duration) error {
+	order := cranberryward.RankOrder{
+		Kind:    cranberryward.RankPrepare,
+		Version: version,
+		Map:     next,
+	}
+	if err := steward.orderAll(ctx, order, func(report cranberryward.RankReport) bool { return report.Prepared >= version }); err != nil {
+		return err
+	}
+	deadline := time.Now().Add(expected + copyPatience)
+	pause := max(expected, copyPoll)
+	for {
+		if err := sleep(ctx, pause); err != nil {
+			return err
+		}
+		pause = copyPoll
+		epoch := steward.epoch
+		if err := steward.observe(ctx, true); err != nil {
+			return err
+		}
+		if len(steward.ranks) == 0 || steward.epoch != epoch {
+			return errEpochEnded
+		}
+		if !slices.ContainsFunc(steward.ranks, func(rank rank) bool { return rank.observed.Report.Prepared != version }) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return eris.New("copies took too long")
+		}
+	}
+}
+
+// arm arms a map on all ranks, whose group is held before the pass.
+func (steward *Steward) arm(ctx context.Context, version, step uint64) error {
+	order := cranberryward.RankOrder{
+		Kind:    cranberryward.RankArm,
+		Version: version,
+		Step:    step,
+	}
+	return steward.orderAll(ctx, order, func(report cranberryward.RankReport) bool { return report.Armed == version })
+}
+
+// release lets a held group begin its pass.
+func (steward *Steward) release(ctx context.Context, holder int, step uint64) error {
+	order := cranberryward.RankOrder{Kind: cranberryward.RankGo, Step: step}
+	released, err := steward.order(ctx, holder, order, func(report cranberryward.RankReport) bool { return report.Held == 0 })
+	if err == nil && !released {
+		err = eris.New("the rank stays held")
+	}
+	return err
+}
+
+// awaitSwitch waits until the ranks run a map, as nothing can be prepared on an armed rank.
+func (steward *Steward) awaitSwitch(ctx context.Context, version uint64) error {
+	deadline := time.Now().Add(switchPatience)
+	pause := time.Duration(steward.lead) * steward.passTime / 2
+	for {
+		if err := sleep(ctx, min(max(pause, copyPoll), switchPatience)); err != nil {
+			return err
+		}
+		pause = copyPoll
+		epoch := steward.epoch
+		if err := steward.observe(ctx, true); err != nil {
+			return err
+		}
+		if len(steward.ranks) == 0 || steward.epoch != epoch {
+			return errEpochEnded
+		}
+		if !slices.ContainsFunc(steward.ranks, func(rank rank) bool { return rank.observed.Report.Map != version }) || time.Now().After(deadline) {
+			return nil
+		}
+	}
+}
+
+// orderAll gives an order to all ranks at once and returns an error unless each has carried it out.
+func (steward *Steward) orderAll(ctx context.Context, order cranberryward.RankOrder, done func(cranberryward.RankReport) bool) error {
+	failures := make([]error, len(steward.ranks))
+	var wait sync.WaitGroup
+	for i := range steward.ranks {
+		wait.Go(func() {
+			carriedOut, err := steward.order(ctx, i, order, done)
+			if err == nil && !carriedOut {
+				err = eris.Errorf("rank %d refused", i)
+			}
+			failures[i] = err
+		})
+	}
+	wait.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// order gives a rank an order until it is known to be carried out or refused for good; each repeat is bound to the orders that the rank has begun, so none is carried out twice or late.
+func (steward *Steward) order(ctx context.Context, index int, order cranberryward.RankOrder, done func(cranberryward.RankReport) bool) (bool, error) {
+	rank := &steward.ranks[index]
+	order.Epoch = rank.observed.Report.Epoch
+	var failure error
+	for range orderAttempts {
+		order.Orders = rank.observed.Report.Orders
+		answer, err := rank.hands.Order(ctx, steward.term, order)
+		if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
+			return false, eris.Wrap(err, "order")
+		}
+		if answer == cranberryward.OrderAccepted {
+			rank.observed.Report.Orders++
+			return true, nil
+		}
+		failure = err
+		before := rank.observed.Report.Orders
+		observation, err := rank.hands.Observe(ctx, Question{Term: steward.term})
+		if err != nil {
+			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
+				return false, eris.Wrap(err, "order")
+			}
+			failure = err
+			continue
+		}
+		if observation.Report.Epoch != order.Epoch {
+			return false, errEpochEnded
+		}
+		rank.observed.Report = observation.Report
+		if done(observation.Report) {
+			return true, nil
+		}
+		if answer == cranberryward.OrderRefused && before == observation.Report.Orders {
+			return false, nil
+		}
+	}
+	return false, eris.Wrap(failure, "an order stays without answer")
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(pause):
+		return nil
+	}
+}
--- /dev/null
+++ b/steward/demand.go
@@ -0,0 +1,64 @@
+package steward
+
+import (
+	"math"
+	"time"
+)
+
+// demandHalfLife is how soon half of what was seen of the demand is forgotten; demand shifts within seconds.
+const demandHalfLife = 300 * time.Millisecond
+
+// demand estimates how often each expert is chosen from counts that grow since each rank's start.
+type demand struct {
+	loads  []float64
+	seen   map[int]countsSeen
+	decays time.Time
+}
+
+type countsSeen struct {
+	born   int64
+	counts []int64
+}
+
+// observe takes in the counts of one rank.
+func (demand *demand) observe(rank int, born int64, counts []int64) {
+	if len(counts) == 0 {
+		return
+	}
+	if demand.seen == nil {
+		demand.seen = map[int]countsSeen{}
+	}
+	if len(demand.loads) != len(counts) {
+		demand.loads = make([]float64, len(counts))
+	}
+	before, known := demand.seen[rank]
+	demand.seen[rank] = countsSeen{born: born, counts: counts}
+	if !known || before.born != born || len(before.counts) != len(counts) {
+		return
+	}
+	for i, count := range counts {
+		if more := count - before.counts[i]; more > 0 {
+			demand.loads[i] += float64(more)
+		}
+	}
+}
+
+// age forgets a part of what was seen before a moment.
+func (demand *demand) age(now time.Time) {
+	if !demand.decays.IsZero() {
+		factor := math.Exp2(-now.Sub(demand.decays).Seconds() / demandHalfLife.Seconds())
+		for i := range demand.loads {
+			demand.loads[i] *= factor
+		}
+	}
+	demand.decays = now
+}
+
+// total returns how much was seen, which says how far the estimate can be believed.
+func (demand *demand) total() float64 {
+	total := 0.0
+	for _, load := range demand.loads {
+		total += load
+	}
+	return total
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,300 @@
+package steward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/planner"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// observeInterval is how often the ranks are observed; demand shifts within seconds and the reaction should stay well under one.
+	observeInterval = 80 * time.Millisecond
+	// observeTimeout bounds one observation of a rank's own instance.
+	observeTimeout = 400 * time.Millisecond
+	// leastDemand is the number of choices below which the estimate is noise: a few per expert.
+	leastDemandPerExpert = 4
+	// minimumGain is the share of crowding below which a step of the search is not worth a copy.
+	minimumGain = 0.01
+	// worthwhile is the share of the pass's expert time that a change must save.
+	worthwhile = 0.02
+)
+
+// Member is one rank that may belong to the group.
+type Member struct {
+	ID    string
+	Hands Hands
+}
+
+// Group gives the steward what it needs to know of the group.
+type Group interface {
+	// Members returns the backend servers of the service that are registered now.
+	Members() []Member
+	// Engine returns the published cost model, and nil before a configuration is known.
+	Engine() *cranberryward.EngineModel
+}
+
+// Steward controls one group during one term.
+type Steward struct {
+	group  Group
+	term   uint64
+	logger log.Logger
+
+	demand    demand
+	ranks     []rank
+	epoch     uint64
+	placement [][][]int
+	version   uint64
+	issued    uint64
+	lead      uint64
+	passTime  time.Duration
+	lastStep  uint64
+	lastSeen  time.Time
+	changes   int
+}
+
+// rank is one rank of the whole group with its last observation.
+type rank struct {
+	id       string
+	hands    Hands
+	observed Observation
+}
+
+// versionsPerTerm leaves each term its own range of map versions, above those of all earlier terms.
+const versionsPerTerm = 1 << 16
+
+// New returns a steward for a term, whose number is higher than that of each earlier one.
+func New(group Group, term uint64, logger log.Logger) *Steward {
+	return &Steward{
+		group:  group,
+		term:   term,
+		logger: log.With(logger, "term", term),
+		lead:   firstLead,
+	}
+}
+
+// ErrTermEnded means that a rank's agent follows a later term.
+var ErrTermEnded = eris.New("a later term has begun")
+
+// Run controls the group until the context ends or a later term has begun.
+func (steward *Steward) Run(ctx context.Context) error {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		if err := steward.round(ctx); err != nil {
+			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
+				return err
+			}
+			_ = level.Info(steward.logger).Log("event", "map_round_failed", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// round observes the group, frees what is held or armed without need, and changes the map where that pays.
+func (steward *Steward) round(ctx context.Context) error {
+	if err := steward.observe(ctx, true); err != nil {
+		return err
+	}
+	if len(steward.ranks) == 0 {
+		return nil
+	}
+	if steward.unsettled() {
+		return steward.settle(ctx)
+	}
+	engine := steward.group.Engine()
+	if engine == nil || engine.Sets == 0 {
+		return nil
+	}
+	if err := steward.learnPlacement(ctx, engine); err != nil {
+		return err
+	}
+	if steward.demand.total() < float64(leastDemandPerExpert*engine.Sets*engine.Experts) {
+		return nil
+	}
+	next, copies, saved := steward.plan(engine)
+	if copies == 0 || saved < worthwhile {
+		return nil
+	}
+	return steward.change(ctx, next, copies, engine)
+}
+
+// plan returns the next map, the most experts that a rank copies for it, and the share of the expert time that it saves.
+func (steward *Steward) plan(engine *cranberryward.EngineModel) (next [][][]int, copies int, saved float64) {
+	increment := planner.Increment{
+		Places:      engine.Places,
+		Newcomers:   1,
+		MinimumGain: minimumGain,
+	}
+	before, after := 0.0, 0.0
+	perRank := make([]int, len(steward.ranks))
+	for set := range engine.Sets {
+		loads := steward.demand.loads[set*engine.Experts : (set+1)*engine.Experts]
+		improved, _ := increment.Improve(steward.placement[set], loads)
+		before += planner.Skew(steward.placement[set], loads)
+		after += planner.Skew(improved, loads)
+		for rank := range improved {
+			perRank[rank] += newcomers(steward.placement[set][rank], improved[rank])
+		}
+		next = append(next, improved)
+	}
+	for _, count := range perRank {
+		copies = max(copies, count)
+	}
+	if before <= 0 {
+		return next, copies, 0
+	}
+	return next, copies, (before - after) / before
+}
+
+func newcomers(before, after []int) int {
+	count := 0
+	for _, expert := range after {
+		known := false
+		for _, old := range before {
+			known = known || old == expert
+		}
+		if !known {
+			count++
+		}
+	}
+	return count
+}
+
+// observe asks all members at once and keeps the group if all of its ranks answered in one epoch.
+func (steward *Steward) observe(ctx context.Context, counts bool) error {
+	members := steward.group.Members()
+	observations := make([]Observation, len(members))
+	failures := make([]error, len(members))
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for i, member := range members {
+		wait.Go(func() {
+			observations[i], failures[i] = member.Hands.Observe(ctx, Question{Term: steward.term, Counts: counts})
+		})
+	}
+	wait.Wait()
+	now := time.Now()
+	steward.demand.age(now)
+	ranks := make([]rank, 0, len(members))
+	var lost error
+	for i, member := range members {
+		if eris.Is(failures[i], ErrTermEnded) {
+			return failures[i]
+		}
+		if failures[i] != nil {
+			lost = eris.Wrapf(failures[i], "observe %s", member.ID)
+			continue
+		}
+		steward.demand.observe(observations[i].Report.Rank, observations[i].Report.Born, observations[i].Counts)
+		ranks = append(ranks, rank{id: member.ID, hands: member.Hands, observed: observations[i]})
+	}
+	steward.ranks = steward.whole(ranks)
+	if len(steward.ranks) == 0 && lost != nil {
+		return lost
+	}
+	steward.learnPace(now)
+	return nil
+}
+
+// whole returns the ranks in their order if they are one open group, and nothing otherwise.
+func (steward *Steward) whole(ranks []rank) []rank {
+	if len(ranks) == 0 {
+		return nil
+	}
+	epoch, size := uint64(0), 0
+	for _, rank := range ranks {
+		if rank.observed.Report.Epoch > epoch {
+			epoch, size = rank.observed.Report.Epoch, rank.observed.Report.Size
+		}
+	}
+	ordered := make([]rank, size)
+	found := 0
+	for _, rank := range ranks {
+		report := rank.observed.Report
+		if report.Epoch != epoch || !report.Open || report.Rank < 0 || report.Rank >= size || ordered[report.Rank].hands != nil {
+			continue
+		}
+		ordered[report.Rank] = rank
+		found++
+	}
+	if found != size {
+		return nil
+	}
+	if epoch != steward.epoch {
+		steward.epoch, steward.placement = epoch, nil
+	}
+	return ordered
+}
+
+// learnPace estimates how long a pass takes from how far the group has come.
+func (steward *Steward) learnPace(now time.Time) {
+	if len(steward.ranks) == 0 {
+		return
+	}
+	step := steward.highestStep()
+	if step > steward.lastStep && !steward.lastSeen.IsZero() {
+		sample := now.Sub(steward.lastSeen) / time.Duration(step-steward.lastStep)
+		if steward.passTime == 0 {
+			steward.passTime = sample
+		}
+		steward.passTime += (sample - steward.passTime) / 4
+	}
+	if step != steward.lastStep {
+		steward.lastStep, steward.lastSeen = step, now
+	}
+}
+
+func (steward *Steward) highestStep() uint64 {
+	highest := uint64(0)
+	for _, rank := range steward.ranks {
+		highest = max(highest, rank.observed.Report.Step)
+	}
+	return highest
+}
+
+// learnPlacement asks the ranks what they hold when their map is not one that this steward made.
+func (steward *Steward) learnPlacement(ctx context.Context, engine *cranberryward.EngineModel) error {
+	version := steward.ranks[0].observed.Report.Map
+	if steward.placement != nil && version == steward.version {
+		return nil
+	}
+	placement := make([][][]int, engine.Sets)
+	for set := range placement {
+		placement[set] = make([][]int, len(steward.ranks))
+	}
+	for i := range steward.ranks {
+		observation, err := steward.ranks[i].hands.Observe(ctx, Question{Term: steward.term, Placement: true})
+		if err != nil {
+			return eris.Wrap(err, "ask for the present map")
+		}
+		if observation.PlacementVersion != version || len(observation.Placement) != engine.Sets {
+			return eris.Errorf("rank %d shows map %d with %d sets, expected map %d with %d", i, observation.PlacementVersion, len(observation.Placement), version, engine.Sets)
+		}
+		for set, experts := range observation.Placement {
+			placement[set][i] = experts
+		}
+	}
+	steward.placement, steward.version = placement, version
+	_ = level.Info(steward.logger).Log("event", "map_learned", "version", version, "epoch", steward.epoch)
+	return nil
+}
+
+// nextVersion returns a map version above all that any rank has had.
+func (steward *Steward) nextVersion() uint64 {
+	steward.issued++
+	return steward.term*versionsPerTerm + steward.issued
+}
+
+// Changes returns how many maps came into force.
+func (steward *Steward) Changes() int { return steward.changes }
