--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -155,14 +155,16 @@
 		}
 		if err := agent.lead(ctx); err != nil && ctx.Err() == nil {
 			_ = level.Info(agent.logger).Log("event", "campaign_failed", "error", err)
+			// Another agent holds the lease, or the store does not answer: either way this one waits as if a controller had been heard.
+			agent.service.hear()
 		}
 	}
 }
 
 // lead takes the lease and controls the group until the term ends.
 func (agent *Agent) lead(ctx context.Context) error {
-	if belief, _ := agent.relayer.Belief(); belief == nil || belief.Deployment == nil {
-		return eris.New("no configuration is known yet")
+	if agent.Engine() == nil || len(agent.Members()) == 0 {
+		return eris.New("no group is known yet")
 	}
 	lease, term, err := agent.takeLease(ctx)
 	if err != nil {
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -108,6 +108,13 @@
 	return nil
 }
 
+// hear counts as if a controller had been heard now.
+func (rankService *rankService) hear() {
+	rankService.mutex.Lock()
+	defer rankService.mutex.Unlock()
+	rankService.heard = time.Now()
+}
+
 // silence returns how long no controller was heard.
 func (rankService *rankService) silence() time.Duration {
 	rankService.mutex.Lock()
