--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -21,6 +21,7 @@
 	entries func() int
 
 	mutex sync.Mutex
+	begun time.Time
 	parts map[string]*[budgetParts]budgetPart
 }
 
@@ -51,6 +52,15 @@
 	return now.UnixNano() / int64(budget.window/budgetParts)
 }
 
+// slackPart returns this entry's part of the slack, which grows over the first window, as the repeats of an earlier life are not known and other entries are not heard yet.
+func (budget *budget) slackPart(now time.Time) float64 {
+	if budget.begun.IsZero() {
+		budget.begun = now
+	}
+	grown := min(float64(now.Sub(budget.begun))/float64(budget.window), 1)
+	return grown * budget.slack / float64(max(budget.entries(), 1))
+}
+
 // first counts the first send of a request.
 func (budget *budget) first(service string) {
 	budget.mutex.Lock()
@@ -71,7 +81,7 @@
 			repeats += part.repeats
 		}
 	}
-	allowed := budgetShare * (budget.ratio*float64(requests) + budget.slack/float64(max(budget.entries(), 1)))
+	allowed := budgetShare * (budget.ratio*float64(requests) + budget.slackPart(now))
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,10 @@
 	longestAnswer = 16 << 20
 	// defaultAllowance applies to a request whose caller and route state no time.
 	defaultAllowance = 30 * time.Second
+	// stopReserve is the time before a stop's end from which only requests are taken that end before it.
+	stopReserve = 5 * time.Second
+	// stopRetryAfter is when a caller may return, which reaches another entry.
+	stopRetryAfter = 20 * time.Millisecond
 	// startRetryAfter is when a caller may return to an entry that knows no configuration yet, which the platform asks once a second.
 	startRetryAfter = 500 * time.Millisecond
 )
@@ -46,9 +51,12 @@
 	servers   servers
 	connector connector.Connector
 	budget    budget
+	groups    groups
 	stopping  atomic.Bool
-	inFlight  atomic.Int64
-	lines     lines
+	// stopBy is the Unix nanosecond at which a stopping process ends.
+	stopBy   atomic.Int64
+	inFlight atomic.Int64
+	lines    lines
 }
 
 // New returns a forwarder that refuses all requests until it is given a belief.
@@ -90,8 +98,16 @@
 // InFlight returns how many requests are being answered.
 func (forwarder *Forwarder) InFlight() int64 { return forwarder.inFlight.Load() }
 
-// Stop lets each further answer ask its caller to use another connection.
-func (forwarder *Forwarder) Stop() { forwarder.stopping.Store(true) }
+// Stop lets each further answer ask its caller to use another connection, and refuses what cannot end in time.
+func (forwarder *Forwarder) Stop(by time.Time) {
+	forwarder.stopBy.Store(by.UnixNano())
+	forwarder.stopping.Store(true)
+}
+
+// HearGroup takes in the word of a rank, by its agent, on the group that serves a service.
+func (forwarder *Forwarder) HearGroup(service, from string, epoch uint64, open bool) {
+	forwarder.groups.hear(service, from, epoch, open)
+}
 
 // Sweep closes idle connections that are no longer of use.
 func (forwarder *Forwarder) Sweep() { forwarder.connector.Sweep() }
@@ -112,6 +128,10 @@
 	if !forwarder.place(writer, exchange) || !forwarder.readBody(writer, exchange) {
 		return
 	}
+	if retryAfter, reason := forwarder.unservable(exchange); reason != "" {
+		forwarder.refuse(writer, exchange, http.StatusServiceUnavailable, reason, retryAfter)
+		return
+	}
 	ctx, cancel := context.WithDeadline(request.Context(), exchange.deadline)
 	defer cancel()
 	exchange.ctx = ctx
@@ -119,6 +139,17 @@
 	forwarder.serve(writer, exchange)
 }
 
+// unservable returns why a request cannot be served now and when its caller may return.
+func (forwarder *Forwarder) unservable(exchange *exchange) (retryAfter time.Duration, reason string) {
+	if forwarder.stopping.Load() && exchange.deadline.UnixNano() > forwarder.stopBy.Load() && time.Until(time.Unix(0, forwarder.stopBy.Load())) < stopReserve {
+		return stopRetryAfter, "stopping"
+	}
+	if forwarder.groups.closed(exchange.service) {
+		return closedRetryAfter + time.Duration(rand.Int64N(int64(closedSpread))), "group_broken"
+	}
+	return 0, ""
+}
+
 // place finds the route, workspace and time of a request, or answers it.
 func (forwarder *Forwarder) place(writer http.ResponseWriter, exchange *exchange) bool {
 	table := forwarder.table.Load()
--- a/forwarder/lines.go
+++ b/forwarder/lines.go
@@ -27,15 +27,30 @@
 		}
 		logger = level.Debug(lines.logger)
 	}
+	lines.write(logger, exchange, status, reason)
+}
+
+func (lines *lines) write(logger log.Logger, exchange *exchange, status int, reason string, more ...any) {
 	route := ""
 	if exchange.route != nil {
 		route = exchange.route.Name
 	}
-	err := logger.Log("event", "request_ended", "request", exchange.facts.ID, "status", status, "reason", reason, "route", route,
-		"sends", exchange.sends, "may_have_run", exchange.mayHaveRun, "ms", time.Since(exchange.arrived).Milliseconds())
+	err := logger.Log(append([]any{"event", "request_ended", "request", exchange.facts.ID, "status", status, "reason", reason, "route", route,
+		"sends", exchange.sends, "may_have_run", exchange.mayHaveRun, "ms", time.Since(exchange.arrived).Milliseconds()}, more...)...)
 	if err != nil {
 		lines.calm.Add(1) // a line that cannot be written has nowhere to be reported
 	}
 }
 
+// streamed writes the end of a complete stream with what its caller saw of it.
+func (lines *lines) streamed(exchange *exchange, relay *relay) {
+	lateness := relay.lateness(exchange)
+	if lateness == "" {
+		lines.ended(exchange, http.StatusOK, "")
+		return
+	}
+	lines.write(level.Info(lines.logger), exchange, http.StatusOK, lateness,
+		"first_ms", relay.firstAt.Sub(exchange.arrived).Milliseconds(), "pause_ms", relay.longestPause.Milliseconds())
+}
+
 func isTooLong(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -23,6 +23,10 @@
 		if ticket == nil || exchange.ctx.Err() != nil {
 			break
 		}
+		if exchange.sends > 0 && forwarder.groups.closed(exchange.service) {
+			reason = "group_broken"
+			break
+		}
 		if exchange.sends > 0 && !forwarder.budget.repeat(exchange.service) {
 			reason = "retry_budget"
 			break
@@ -55,7 +59,11 @@
 		forwarder.lines.ended(exchange, last.status, "backend_server_failed")
 		return
 	}
-	forwarder.fail(writer, exchange, reason, unavailableRetryAfter)
+	retryAfter := unavailableRetryAfter
+	if reason == "group_broken" {
+		retryAfter = closedRetryAfter
+	}
+	forwarder.fail(writer, exchange, reason, retryAfter)
 }
 
 // attempt sends the request once; a held answer is a backend server's own failure that may be bettered by another one.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -18,6 +18,8 @@
 	longestEvent = 1 << 20
 	// resumePause lets a group that lost a rank form again before its streams are resumed.
 	resumePause = 150 * time.Millisecond
+	// resumePatience is how long a stream waits for its group to form again; callers leave after a pause of two seconds.
+	resumePatience = 1800 * time.Millisecond
 	// resumeLimit bounds the resumptions of one stream.
 	resumeLimit = 3
 )
@@ -33,6 +35,33 @@
 	// lastID is the id of the last event passed on, as the backend servers count them.
 	lastID  string
 	lastSeq int64
+	// firstAt and lastAt are when the first and the last event came, and longestPause the longest time between two.
+	firstAt      time.Time
+	lastAt       time.Time
+	longestPause time.Duration
+}
+
+// note takes in when an event came.
+func (relay *relay) note(now time.Time) {
+	if relay.firstAt.IsZero() {
+		relay.firstAt = now
+	} else {
+		relay.longestPause = max(relay.longestPause, now.Sub(relay.lastAt))
+	}
+	relay.lastAt = now
+}
+
+// lateness returns why a complete stream came late, and nothing if it did not.
+func (relay *relay) lateness(exchange *exchange) string {
+	route := exchange.route
+	switch {
+	case route.Objective > 0 && relay.firstAt.Sub(exchange.arrived) > route.Objective:
+		return "late_first_event"
+	case route.PauseObjective > 0 && relay.longestPause > route.PauseObjective:
+		return "late_pause"
+	default:
+		return ""
+	}
 }
 
 // stream passes on a stream and resumes it where it breaks; it returns false if nothing was passed on.
@@ -53,7 +82,7 @@
 			answer.Complete()
 			answer.Finish()
 			forwarder.servers.done(state, outcomeGood)
-			forwarder.lines.ended(exchange, http.StatusOK, "")
+			forwarder.lines.streamed(exchange, relay)
 			return true
 		}
 		answer.Abort()
@@ -77,6 +106,9 @@
 			return nil, nil
 		case <-time.After(resumePause):
 		}
+		if !forwarder.groups.awaitOpen(exchange.ctx, exchange.service, resumePatience) {
+			return nil, nil
+		}
 		ticket := exchange.ticket()
 		if ticket == nil || !forwarder.budget.repeat(exchange.service) {
 			return nil, nil
@@ -130,6 +162,7 @@
 		}
 		if relay.fresh(id) {
 			relay.begin(answer)
+			relay.note(time.Now())
 			if _, err := relay.writer.Write(event); err != nil {
 				return err
 			}
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	if settings.Rank != "" {
-		agent.service = newRankService(settings.Rank)
+		agent.service = newRankService(settings.Rank, agent.tellGroup)
 		if err := server.Register("Rank", agent.service); err != nil {
 			return nil, err
 		}
@@ -116,6 +116,9 @@
 	agent.cancel = cancel
 	agent.server.Start()
 	go agent.relayer.Run(ctx)
+	if agent.service != nil {
+		go agent.service.watch(ctx)
+	}
 	go func() {
 		defer close(agent.ended)
 		if agent.service != nil {
@@ -125,6 +128,18 @@
 	return nil
 }
 
+// tellGroup tells the entries whether the group of this agent's rank is open.
+func (agent *Agent) tellGroup(report cranberryward.RankReport) {
+	if report.Group == "" {
+		return
+	}
+	agent.relayer.TellGroup(relayer.GroupState{
+		Service: agent.settings.Service,
+		Epoch:   report.Epoch,
+		Open:    report.Open,
+	})
+}
+
 // Stop hands a group over and ends the agent.
 func (agent *Agent) Stop(ctx context.Context) error {
 	agent.cancel()
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -17,6 +17,8 @@
 	localTimeout = 250 * time.Millisecond
 	// orderTimeout bounds an order to the rank on the same instance; one without an answer is repeated under a new condition.
 	orderTimeout = 100 * time.Millisecond
+	// watchInterval is how often the rank is asked for its state while no controller does, which bounds how late callers learn of it.
+	watchInterval = 250 * time.Millisecond
 )
 
 // ObserveRequest asks an agent for the state of its rank.
@@ -53,10 +55,14 @@
 	heard time.Time
 
 	orders sync.Mutex
+	// tell takes each report of the rank.
+	tell func(report cranberryward.RankReport)
+	seen time.Time
 }
 
-func newRankService(address string) *rankService {
+func newRankService(address string, tell func(report cranberryward.RankReport)) *rankService {
 	return &rankService{
+		tell:  tell,
 		rank:  platform.NewRank(address),
 		life:  rand.Uint64(),
 		heard: time.Now(),
@@ -72,6 +78,7 @@
 	if err != nil {
 		return caller.EncodeError(err)
 	}
+	rankService.noteSeen(observation.Report)
 	observation.Fresh = true
 	reply.Observation, reply.Life = observation, rankService.life
 	return nil
@@ -108,6 +115,28 @@
 	return nil
 }
 
+func (rankService *rankService) noteSeen(report cranberryward.RankReport) {
+	rankService.mutex.Lock()
+	rankService.seen = time.Now()
+	rankService.mutex.Unlock()
+	rankService.tell(report)
+}
+
+// watch asks the rank itself for its state while no controller does.
+func (rankService *rankService) watch(ctx context.Context) {
+	for sleep(ctx, watchInterval) == nil {
+		rankService.mutex.Lock()
+		idle := time.Since(rankService.seen) > watchInterval
+		rankService.mutex.Unlock()
+		if !idle {
+			continue
+		}
+		if observation, err := observe(rankService.rank, steward.Question{}); err == nil {
+			rankService.noteSeen(observation.Report)
+		}
+	}
+}
+
 // hear counts as if a controller had been heard now.
 func (rankService *rankService) hear() {
 	rankService.mutex.Lock()
--- a/gateway/entry/callers.go
+++ b/gateway/entry/callers.go
@@ -77,6 +77,15 @@
 	return otherwise
 }
 
+// closeIdle closes the connections on which no request is under way, and each other one after its answer.
+func (callerListener *callerListener) closeIdle() {
+	callerListener.mutex.Lock()
+	defer callerListener.mutex.Unlock()
+	for _, server := range callerListener.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+}
+
 // stop closes the listener and all connections.
 func (callerListener *callerListener) stop() {
 	_ = callerListener.listener.Close() // the process ends next
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -88,6 +88,7 @@
 		Neighbours: agent.Neighbours(settings),
 		Changed:    entry.take,
 		Running:    entry.forwarder.Running,
+		Heard:      entry.hear,
 		Logger:     logger,
 	}, platform.NewStore(settings.Store), entry.calls)
 	if err != nil {
@@ -149,6 +150,13 @@
 	entry.mutex.Unlock()
 }
 
+// hear takes in what an agent tells of its group.
+func (entry *Entry) hear(notice relayer.Notice) {
+	if group := notice.Group; group != nil {
+		entry.forwarder.HearGroup(group.Service, notice.From, group.Epoch, group.Open)
+	}
+}
+
 func (entry *Entry) currentLimits() cranberryward.RequestLimits {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
@@ -191,17 +199,22 @@
 // Stop ends the entry once all that it has taken on is answered, within the grace period.
 func (entry *Entry) Stop(ctx context.Context) error {
 	entry.stopping.Store(true)
-	entry.forwarder.Stop()
-	entry.relayer.Leave()
-	_ = level.Info(entry.logger).Log("event", "stopping", "in_flight", entry.forwarder.InFlight())
 	begun := time.Now()
 	deadline := begun.Add(entry.settings.Grace() - graceReserve)
+	entry.forwarder.Stop(deadline)
+	entry.relayer.Leave()
+	_ = level.Info(entry.logger).Log("event", "stopping", "in_flight", entry.forwarder.InFlight())
 	quietSince := begun
+	idleClosed := false
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		now := time.Now()
 		if entry.forwarder.InFlight() > 0 {
 			quietSince = now
 		}
+		if now.Sub(begun) > rotationTime && !idleClosed {
+			idleClosed = true
+			entry.callers.closeIdle()
+		}
 		if now.Sub(begun) > rotationTime && now.Sub(quietSince) > quietTime {
 			break
 		}
--- a/relayer/belief.go
+++ b/relayer/belief.go
@@ -71,10 +71,19 @@
 	Peers    []string `json:"peers,omitempty"`
 	// Running counts the requests of this entry at each backend server, by id.
 	Running map[string]int `json:"running,omitempty"`
+	// Group is the state of the group of the rank beside this agent.
+	Group *GroupState `json:"group,omitempty"`
 	// Leaving is whether the process is about to end.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// GroupState is what one rank says of the group that serves a service.
+type GroupState struct {
+	Service string `json:"service"`
+	Epoch   uint64 `json:"epoch"`
+	Open    bool   `json:"open"`
+}
+
 // FetchRequest asks a peer for its belief.
 type FetchRequest struct{}
 
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -43,6 +43,20 @@
 			continue
 		}
 		relayer.hear(notice)
+		if relayer.options.Heard != nil {
+			relayer.options.Heard(notice)
+		}
+	}
+}
+
+// TellGroup tells peers at once of a changed state of the group.
+func (relayer *Relayer) TellGroup(state GroupState) {
+	relayer.mutex.Lock()
+	changed := relayer.group == nil || *relayer.group != state
+	relayer.group = &state
+	relayer.mutex.Unlock()
+	if changed {
+		relayer.announce(true)
 	}
 }
 
@@ -160,6 +174,7 @@
 		Zone:     relayer.options.Zone,
 		Running:  running,
 		Leaving:  relayer.leaving,
+		Group:    relayer.group,
 		Peers:    present[:min(len(present), maxPeersTold)],
 	}
 	if relayer.belief != nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -45,7 +45,9 @@
 	Changed func(before, now *Belief)
 	// Running returns the requests of this entry at each backend server.
 	Running func() map[string]int
-	Logger  log.Logger
+	// Heard is called with each notice of a peer.
+	Heard  func(notice Notice)
+	Logger log.Logger
 }
 
 // Relayer keeps a belief current.
@@ -62,6 +64,7 @@
 	wake     chan struct{}
 	fetching map[string]bool
 	leaving  bool
+	group    *GroupState
 
 	reads, failures int
 }
