--- /dev/null
+++ b/standin/rankserver/group.go
@@ -0,0 +1,157 @@
+package rankserver
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Shape says how large a group is and what it can hold.
+type Shape struct {
+	Ranks   int
+	Sets    int
+	Experts int
+	Places  int
+	Spare   int
+	// Copy is how long a rank copies one expert.
+	Copy time.Duration
+	// Form is how long the group takes to open after a lost rank is back.
+	Form time.Duration
+}
+
+// Group is a group of ranks whose passes are begun by its owner, and the judge of its maps.
+type Group struct {
+	shape Shape
+
+	mutex     sync.Mutex
+	epoch     uint64
+	open      bool
+	step      uint64
+	ranks     []*Rank
+	switches  []uint64
+	mixed     []string
+	heldTries int
+}
+
+// NewGroup returns an open group in its first epoch.
+func NewGroup(shape Shape) *Group {
+	group := &Group{
+		shape: shape,
+		epoch: 1,
+		open:  true,
+	}
+	for index := range shape.Ranks {
+		group.ranks = append(group.ranks, newRank(group, index))
+	}
+	return group
+}
+
+// Rank returns a rank of the group.
+func (group *Group) Rank(index int) *Rank { return group.ranks[index] }
+
+// Size returns how many ranks the group has.
+func (group *Group) Size() int { return len(group.ranks) }
+
+// Pass begins the next pass unless the group is broken or held, and returns whether it did.
+func (group *Group) Pass() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if !group.open {
+		return false
+	}
+	next := group.step + 1
+	if slices.ContainsFunc(group.ranks, func(rank *Rank) bool { return rank.held != 0 && next >= rank.held }) {
+		group.heldTries++
+		return false
+	}
+	group.step, group.heldTries = next, 0
+	for _, rank := range group.ranks {
+		if rank.armedStep != 0 && next >= rank.armedStep {
+			rank.version, rank.placement = rank.armed, rank.preparedPlacement
+			rank.armed, rank.armedStep, rank.prepared = 0, 0, 0
+		}
+	}
+	group.judge()
+	return true
+}
+
+// judge notes a pass that begins with two maps.
+func (group *Group) judge() {
+	first := group.ranks[0]
+	for _, rank := range group.ranks[1:] {
+		if rank.version != first.version {
+			group.mixed = append(group.mixed, fmt.Sprintf("pass %d: rank 0 has map %d, rank %d has map %d", group.step, first.version, rank.index, rank.version))
+			return
+		}
+	}
+	if len(group.switches) == 0 && first.version != 0 || len(group.switches) > 0 && group.switches[len(group.switches)-1] != first.version {
+		group.switches = append(group.switches, first.version)
+	}
+}
+
+// Mixed returns the passes that began with two maps.
+func (group *Group) Mixed() []string {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return slices.Clone(group.mixed)
+}
+
+// Switches returns the map versions that came into force, in order.
+func (group *Group) Switches() []uint64 {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return slices.Clone(group.switches)
+}
+
+// Step returns the last pass that was begun.
+func (group *Group) Step() uint64 {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.step
+}
+
+// HeldFor returns how many times in a row the group could not begin a pass.
+func (group *Group) HeldFor() int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.heldTries
+}
+
+// Break loses a rank, and Form brings it back in a new epoch with map 0 and nothing prepared, armed or held.
+func (group *Group) Break() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.open = false
+}
+
+// Form opens the group in a new epoch.
+func (group *Group) Form() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.epoch++
+	group.open = true
+	for _, rank := range group.ranks {
+		rank.reset()
+	}
+}
+
+// Choose counts that requests of a rank chose an expert of a set.
+func (group *Group) Choose(rank, set, expert, times int) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.ranks[rank].counts[set*group.shape.Experts+expert] += int64(times)
+}
+
+// Placement returns the experts by set and rank that the group holds.
+func (group *Group) Placement() [][][]int {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	placement := make([][][]int, group.shape.Sets)
+	for set := range placement {
+		for _, rank := range group.ranks {
+			placement[set] = append(placement[set], slices.Clone(rank.placement[set]))
+		}
+	}
+	return placement
+}
--- /dev/null
+++ b/standin/storeserver/server.go
@@ -0,0 +1,274 @@
+package storeserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// pageItems is how many items a page holds at most.
+const pageItems = 500
+
+// Fault is what the store does with a call instead of serving it in order.
+type Fault int
+
+// The faults of a call.
+const (
+	// FaultNone serves the call.
+	FaultNone Fault = iota
+	// FaultBusy answers 503 and does nothing.
+	FaultBusy
+	// FaultSilent does nothing and answers nothing.
+	FaultSilent
+	// FaultLostAnswer serves the call and breaks its connection.
+	FaultLostAnswer
+)
+
+// Item is a key with its value, or with its removal.
+type Item struct {
+	Key       string
+	Value     []byte `json:",omitempty"`
+	Revision  uint64
+	CreateRev uint64 `json:",omitempty"`
+	Lease     uint64 `json:",omitempty"`
+	Deleted   bool   `json:",omitempty"`
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// Server is the store, ready after New.
+type Server struct {
+	handler http.Handler
+
+	mutex    sync.Mutex
+	revision uint64
+	items    map[string]Item
+	history  []Item
+	oldest   uint64
+	leases   map[uint64]*lease
+	nextID   uint64
+	changed  chan struct{}
+	fault    func(request *http.Request) Fault
+	calls    map[string]int
+}
+
+// New returns an empty store.
+func New() *Server {
+	server := &Server{
+		revision: 1,
+		items:    map[string]Item{},
+		leases:   map[uint64]*lease{},
+		changed:  make(chan struct{}),
+		calls:    map[string]int{},
+	}
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/kv-key", server.key).Methods(http.MethodGet)
+	router.HandleFunc("/v1/kv-range", server.list).Methods(http.MethodGet)
+	router.HandleFunc("/v1/kv-watch", server.watch).Methods(http.MethodGet)
+	router.HandleFunc("/v1/kv-txn", server.transact).Methods(http.MethodPost)
+	router.HandleFunc("/v1/kv-lease", server.grant).Methods(http.MethodPost)
+	router.HandleFunc("/v1/kv-keep/{id}", server.keep).Methods(http.MethodPost)
+	router.HandleFunc("/v1/kv-lease-end/{id}", server.end).Methods(http.MethodDelete)
+	server.handler = router
+	return server
+}
+
+// SetFault lets a function choose what happens to each call.
+func (server *Server) SetFault(fault func(request *http.Request) Fault) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.fault = fault
+}
+
+// Calls returns how many calls came to a path.
+func (server *Server) Calls(path string) int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.calls[path]
+}
+
+// Put writes a key as the operators and backend servers do.
+func (server *Server) Put(key string, value []byte) uint64 {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.write(key, value, 0)
+}
+
+// Remove removes a key.
+func (server *Server) Remove(key string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.remove(key)
+}
+
+// Forget drops the history up to now.
+func (server *Server) Forget() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.history, server.oldest = nil, server.revision
+}
+
+// ServeHTTP answers a call or lets it fail.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	server.calls[request.URL.Path]++
+	fault := FaultNone
+	if server.fault != nil {
+		fault = server.fault(request)
+	}
+	server.mutex.Unlock()
+	switch fault {
+	case FaultBusy:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	case FaultSilent:
+		<-request.Context().Done()
+	case FaultLostAnswer:
+		server.handler.ServeHTTP(&discard{header: http.Header{}}, request)
+		panic(http.ErrAbortHandler)
+	default:
+		server.handler.ServeHTTP(writer, request)
+	}
+}
+
+type discard struct{ header http.Header }
+
+func (discard *discard) Header() http.Header            { return discard.header }
+func (discard *discard) Write(text []byte) (int, error) { return len(text), nil }
+func (discard *discard) WriteHeader(int)                {}
+
+func (server *Server) write(key string, value []byte, leaseID uint64) uint64 {
+	server.revision++
+	item := Item{
+		Key:       key,
+		Value:     value,
+		Revision:  server.revision,
+		CreateRev: server.revision,
+		Lease:     leaseID,
+	}
+	if before, exists := server.items[key]; exists {
+		item.CreateRev = before.CreateRev
+	}
+	server.items[key] = item
+	server.record(item)
+	return server.revision
+}
+
+func (server *Server) remove(key string) {
+	if _, exists := server.items[key]; !exists {
+		return
+	}
+	server.revision++
+	delete(server.items, key)
+	server.record(Item{
+		Key:      key,
+		Revision: server.revision,
+		Deleted:  true,
+	})
+}
+
+func (server *Server) record(item Item) {
+	server.history = append(server.history, item)
+	close(server.changed)
+	server.changed = make(chan struct{})
+}
+
+func (server *Server) key(writer http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	item, exists := server.items[request.URL.Query().Get("Key")]
+	server.mutex.Unlock()
+	if !exists {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(writer, item)
+}
+
+func (server *Server) list(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	page := struct {
+		Items     []Item
+		Truncated bool
+		At        uint64
+	}{At: server.revision}
+	keys := make([]string, 0, len(server.items))
+	for key := range server.items {
+		if strings.HasPrefix(key, query.Get("Prefix")) && key > query.Get("After") {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	if len(keys) > pageItems {
+		keys, page.Truncated = keys[:pageItems], true
+	}
+	for _, key := range keys {
+		page.Items = append(page.Items, server.items[key])
+	}
+	answer(writer, page)
+}
+
+func (server *Server) watch(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, err := strconv.ParseUint(query.Get("After"), 10, 64)
+	if err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		events, at, changed, compacted := server.since(query.Get("Prefix"), after)
+		if compacted {
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-request.Context().Done():
+				return
+			case <-timer.C:
+			}
+		}
+		answer(writer, map[string]any{"events": events, "At": at})
+		return
+	}
+}
+
+func (server *Server) since(prefix string, after uint64) (events []Item, at uint64, changed chan struct{}, compacted bool) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if after < server.oldest {
+		return nil, 0, nil, true
+	}
+	events = []Item{}
+	for _, item := range server.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, server.revision, server.changed, false
+}
+
+func answer(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(writer).Encode(value); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/standin/storeserver/write.go
@@ -0,0 +1,122 @@
+package storeserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+type transaction struct {
+	Precondition []struct {
+		Key      string
+		Revision uint64
+	}
+	PutItems []struct {
+		Key   string
+		Value []byte
+		Lease uint64
+	}
+	DeleteKeys []string
+}
+
+func (server *Server) transact(writer http.ResponseWriter, request *http.Request) {
+	var transaction transaction
+	if json.NewDecoder(request.Body).Decode(&transaction) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, condition := range transaction.Precondition {
+		if server.items[condition.Key].Revision != condition.Revision {
+			writer.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, put := range transaction.PutItems {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+			writer.WriteHeader(http.StatusForbidden)
+			return
+		}
+		if put.Lease != 0 && server.leases[put.Lease] == nil {
+			writer.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, put := range transaction.PutItems {
+		server.write(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range transaction.DeleteKeys {
+		server.remove(key)
+	}
+	answer(writer, map[string]uint64{"Revision": server.revision})
+}
+
+func (server *Server) grant(writer http.ResponseWriter, request *http.Request) {
+	var grant struct{ TtlMs int64 }
+	if json.NewDecoder(request.Body).Decode(&grant) != nil || grant.TtlMs <= 0 {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.nextID++
+	id := server.nextID
+	ttl := time.Duration(grant.TtlMs) * time.Millisecond
+	server.leases[id] = &lease{
+		ttl:   ttl,
+		timer: time.AfterFunc(ttl, func() { server.Expire(id) }),
+	}
+	answer(writer, map[string]uint64{"Lease": id, "TtlMs": uint64(grant.TtlMs)})
+}
+
+// Expire ends a lease and removes its keys, as when its time has passed.
+func (server *Server) Expire(id uint64) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	held := server.leases[id]
+	if held == nil {
+		return false
+	}
+	held.timer.Stop()
+	delete(server.leases, id)
+	for key, item := range server.items {
+		if item.Lease == id {
+			server.remove(key)
+		}
+	}
+	return true
+}
+
+func (server *Server) keep(writer http.ResponseWriter, request *http.Request) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	held := server.leases[leaseOf(request)]
+	if held == nil {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	held.timer.Reset(held.ttl)
+	answer(writer, map[string]int64{"TtlMs": held.ttl.Milliseconds()})
+}
+
+func (server *Server) end(writer http.ResponseWriter, request *http.Request) {
+	if !server.Expire(leaseOf(request)) {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(writer, map[string]int64{})
+}
+
+// leaseOf returns the lease that a path names, and zero, which no lease has, for any other word.
+func leaseOf(request *http.Request) uint64 {
+	id, err := strconv.ParseUint(mux.Vars(request)["id"], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
