--- /dev/null
+++ b/forwarder/choice.go
@@ -0,0 +1,84 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+const (
+	// toldLag is how old the load that a controller tells of is when it is used: half its interval and the way of its parts.
+	toldLag = 150 * time.Millisecond
+	// usualDuration is how long a request is taken to last before this entry has seen any end.
+	usualDuration = time.Second
+	// durationWeight is the weight of one more request's duration.
+	durationWeight = 0.05
+)
+
+// candidate is a backend server that may be chosen, with what one more request there costs.
+type candidate struct {
+	state *serverState
+	cost  float64
+}
+
+// choose takes the cheapest backend server, or, where loads are known with a lag, draws one so that all entries that see the same loads do not take the same one.
+func (servers *servers) choose(candidates []candidate, service string) *serverState {
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].cost < candidates[j].cost })
+	coming := servers.arrivalsUnseen(candidates, service)
+	if coming <= 1 {
+		return candidates[0].state
+	}
+	level, filled := fillLevel(candidates, coming)
+	drawn := rand.Float64() * coming
+	for _, candidate := range candidates[:filled] {
+		if drawn -= level - candidate.cost; drawn < 0 {
+			return candidate.state
+		}
+	}
+	return candidates[0].state
+}
+
+// arrivalsUnseen estimates how many requests of all entries the told loads do not hold yet, by Little's law.
+func (servers *servers) arrivalsUnseen(candidates []candidate, service string) float64 {
+	now := time.Now()
+	total := 0
+	for _, candidate := range candidates {
+		if now.Sub(candidate.state.toldAt) > toldAge {
+			return 0
+		}
+		total += candidate.state.running + candidate.state.others
+	}
+	duration := servers.durations[service]
+	if duration == 0 {
+		duration = usualDuration
+	}
+	return float64(total) * float64(toldLag) / float64(duration)
+}
+
+// fillLevel returns the cost to which the cheapest candidates, sorted, rise when so many requests are spread over them, and how many these are.
+func fillLevel(candidates []candidate, coming float64) (level float64, filled int) {
+	sum := 0.0
+	for i, candidate := range candidates {
+		sum += candidate.cost
+		level = (coming + sum) / float64(i+1)
+		filled = i + 1
+		if i+1 < len(candidates) && level <= candidates[i+1].cost {
+			break
+		}
+	}
+	return level, filled
+}
+
+// lasted takes in how long a request of a service lasted.
+func (servers *servers) lasted(service string, duration time.Duration) {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	if servers.durations == nil {
+		servers.durations = map[string]time.Duration{}
+	}
+	before := servers.durations[service]
+	if before == 0 {
+		before = duration
+	}
+	servers.durations[service] = before + time.Duration(durationWeight*float64(duration-before))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -95,6 +95,9 @@
 // Share takes over how many requests the other entries have at each backend server.
 func (forwarder *Forwarder) Share(others map[string]int) { forwarder.servers.share(others) }
 
+// HearBusy takes in how many requests of all entries each backend server has, which for a while goes before what the entries tell.
+func (forwarder *Forwarder) HearBusy(busy map[string]int) { forwarder.servers.hearBusy(busy) }
+
 // InFlight returns how many requests are being answered.
 func (forwarder *Forwarder) InFlight() int64 { return forwarder.inFlight.Load() }
 
--- a/forwarder/lines.go
+++ b/forwarder/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,7 @@
 		return
 	}
 	lines.write(level.Info(lines.logger), exchange, http.StatusOK, lateness,
-		"first_ms", relay.firstAt.Sub(exchange.arrived).Milliseconds(), "pause_ms", relay.longestPause.Milliseconds())
+		"backend_server", relay.server, "prompt_tokens", exchange.facts.PromptTokens, "urgency", exchange.urgency(), "load", fmt.Sprint(relay.load.Running, "/", relay.load.Waiting), "first_ms", relay.firstAt.Sub(exchange.arrived).Milliseconds(), "pause_ms", relay.longestPause.Milliseconds())
 }
 
 func isTooLong(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -20,6 +20,8 @@
 	failurePenalty = 8.0
 	// otherZonePenalty weighs bytes between availability zones against requests in flight.
 	otherZonePenalty = 0.45
+	// toldAge is how long the load that a controller tells of is believed; it tells many times in it.
+	toldAge = 400 * time.Millisecond
 	// reportedLoadAge is how long a reported load is believed.
 	reportedLoadAge = 2 * time.Second
 )
@@ -35,7 +37,9 @@
 	delay    float64
 	load     cranberryward.ServerLoad
 	loadAt   time.Time
-	others   int
+	// others counts the requests of other entries, and toldAt is when a controller told of them.
+	others int
+	toldAt time.Time
 }
 
 // servers are the backend servers of a process's belief with what its own requests saw of them.
@@ -43,9 +47,11 @@
 	zone  string
 	drain time.Duration
 
-	mutex  sync.Mutex
-	states map[string]*serverState
-	byName map[string][]*serverState
+	mutex sync.Mutex
+	// durations are how long requests of a service last.
+	durations map[string]time.Duration
+	states    map[string]*serverState
+	byName    map[string][]*serverState
 }
 
 // update takes over the registered backend servers.
@@ -85,8 +91,23 @@
 func (servers *servers) share(others map[string]int) {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
+	now := time.Now()
 	for id, state := range servers.states {
-		state.others = others[id]
+		if now.Sub(state.toldAt) > toldAge {
+			state.others = others[id]
+		}
+	}
+}
+
+// hearBusy takes over how many requests the backend servers had a moment ago; those of this entry are counted anew.
+func (servers *servers) hearBusy(busy map[string]int) {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	now := time.Now()
+	for id, count := range busy {
+		if state := servers.states[id]; state != nil {
+			state.others, state.toldAt = max(count-state.running, 0), now
+		}
 	}
 }
 
@@ -103,27 +124,33 @@
 	return counts
 }
 
-// pick chooses a backend server of a service that was not tried, counts a request at it and returns nil without one.
+// pick chooses a backend server of a service, counts a request at it and returns nil without one; one that was tried is a last resort.
 func (servers *servers) pick(service string, tried map[string]bool) *serverState {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
 	now := time.Now()
-	var best *serverState
-	bestRank, bestCost := 0, 0.0
+	var candidates []candidate
+	best := 0
 	for _, state := range servers.byName[service] {
-		rank := state.standing(now, tried)
-		if rank < 0 {
+		standing := state.standing(now, tried)
+		if standing < 0 || len(candidates) > 0 && standing > best {
 			continue
 		}
-		cost := state.cost(now, servers.zone)
-		if best == nil || rank < bestRank || rank == bestRank && cost < bestCost {
-			best, bestRank, bestCost = state, rank, cost
+		if len(candidates) > 0 && standing < best {
+			candidates = candidates[:0]
 		}
+		best = standing
+		candidates = append(candidates, candidate{
+			state: state,
+			cost:  state.cost(now, servers.zone),
+		})
 	}
-	if best != nil {
-		best.running++
+	if len(candidates) == 0 {
+		return nil
 	}
-	return best
+	chosen := servers.choose(candidates, service)
+	chosen.running++
+	return chosen
 }
 
 // standing returns 0 for a backend server in order, 1 to 3 for last resorts and a negative number for one not to use.
@@ -148,7 +175,7 @@
 
 func (state *serverState) cost(now time.Time, zone string) float64 {
 	busy := float64(state.running + state.others)
-	if state.load.Known && now.Sub(state.loadAt) < reportedLoadAge {
+	if told := now.Sub(state.toldAt) < toldAge; !told && state.load.Known && now.Sub(state.loadAt) < reportedLoadAge {
 		busy = max(busy, float64(state.load.Running+state.load.Waiting-1))
 	}
 	cost := busy + failurePenalty*state.failing + rand.Float64()*0.3
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/connector"
 	"github.com/cranberryward/cranberryward/platform"
 	"github.com/rotisserie/eris"
@@ -35,6 +36,9 @@
 	// lastID is the id of the last event passed on, as the backend servers count them.
 	lastID  string
 	lastSeq int64
+	// server and load are the backend server that began the stream and its load then.
+	server string
+	load   cranberryward.ServerLoad
 	// firstAt and lastAt are when the first and the last event came, and longestPause the longest time between two.
 	firstAt      time.Time
 	lastAt       time.Time
@@ -72,6 +76,8 @@
 		flusher: flusher,
 		lastID:  exchange.facts.LastEventID,
 		lastSeq: -1,
+		server:  state.server.ID,
+		load:    platform.ReadAnswer(answer.Response).Load,
 	}
 	if number, err := strconv.ParseInt(exchange.facts.LastEventID, 10, 64); err == nil {
 		relay.lastSeq = number
@@ -82,6 +88,7 @@
 			answer.Complete()
 			answer.Finish()
 			forwarder.servers.done(state, outcomeGood)
+			forwarder.servers.lasted(exchange.service, time.Since(exchange.arrived))
 			forwarder.lines.streamed(exchange, relay)
 			return true
 		}
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -32,6 +32,8 @@
 	campaignSpread = 600 * time.Millisecond
 	// storeTimeout bounds a call on the store, which answers in milliseconds.
 	storeTimeout = time.Second
+	// tellInterval is how often the controller tells the entries of the load of the ranks; they spread requests by it.
+	tellInterval = 75 * time.Millisecond
 	groupPrefix  = "cranberryward/group/"
 )
 
@@ -47,6 +49,7 @@
 
 	mutex   sync.Mutex
 	members map[string]*hands
+	told    time.Time
 	cancel  context.CancelFunc
 	ended   chan struct{}
 }
@@ -263,6 +266,25 @@
 	return members
 }
 
+// Observed tells the entries how many requests each rank of the group has.
+func (agent *Agent) Observed(reports map[string]cranberryward.RankReport) {
+	agent.mutex.Lock()
+	now := time.Now()
+	due := now.Sub(agent.told) >= tellInterval
+	if due {
+		agent.told = now
+	}
+	agent.mutex.Unlock()
+	if !due {
+		return
+	}
+	busy := make(map[string]int, len(reports))
+	for id, report := range reports {
+		busy[id] = report.Running + report.Waiting
+	}
+	agent.relayer.TellBusy(agent.settings.Service, busy)
+}
+
 // Engine returns the cost model of the group's service.
 func (agent *Agent) Engine() *cranberryward.EngineModel {
 	belief, _ := agent.relayer.Belief()
--- a/gateway/agent/steward_test.go
+++ b/gateway/agent/steward_test.go
@@ -120,6 +120,9 @@
 // Members returns the ranks.
 func (bench *bench) Members() []steward.Member { return bench.members }
 
+// Observed takes no part here.
+func (bench *bench) Observed(map[string]cranberryward.RankReport) {}
+
 // Engine returns the cost model of the stand-ins.
 func (bench *bench) Engine() *cranberryward.EngineModel {
 	return &cranberryward.EngineModel{
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -89,6 +89,7 @@
 		Changed:    entry.take,
 		Running:    entry.forwarder.Running,
 		Heard:      entry.hear,
+		HeardBusy:  entry.forwarder.HearBusy,
 		Logger:     logger,
 	}, platform.NewStore(settings.Store), entry.calls)
 	if err != nil {
--- a/relayer/belief.go
+++ b/relayer/belief.go
@@ -73,6 +73,8 @@
 	Running map[string]int `json:"running,omitempty"`
 	// Group is the state of the group of the rank beside this agent.
 	Group *GroupState `json:"group,omitempty"`
+	// Busy is the load of the backend servers of a service.
+	Busy *Busy `json:"busy,omitempty"`
 	// Leaving is whether the process is about to end.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -84,6 +86,28 @@
 	Open    bool   `json:"open"`
 }
 
+// Busy counts the requests at each backend server of a service, in the order of their ids in the belief with the notice's content.
+type Busy struct {
+	Service string `json:"service"`
+	// Counts has one byte for a backend server; 255 stands for an unknown count.
+	Counts []byte `json:"counts"`
+}
+
+// unknownCount stands for a backend server that was not observed.
+const unknownCount = 255
+
+// serviceIDs returns the ids of a service's backend servers in order.
+func (belief *Belief) serviceIDs(service string) []string {
+	var ids []string
+	for id, server := range belief.Servers {
+		if server.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 // FetchRequest asks a peer for its belief.
 type FetchRequest struct{}
 
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -42,6 +42,12 @@
 		if json.Unmarshal(buffer[:n], &notice) != nil || notice.From == "" || notice.From == relayer.options.Address {
 			continue
 		}
+		if notice.Busy != nil {
+			if relayer.options.HeardBusy != nil {
+				relayer.options.HeardBusy(relayer.busyByID(notice))
+			}
+			continue
+		}
 		relayer.hear(notice)
 		if relayer.options.Heard != nil {
 			relayer.options.Heard(notice)
@@ -114,6 +120,55 @@
 	relayer.adopt(reply.Belief, time.Now().Add(-reply.Age), address)
 }
 
+// TellBusy tells the entries how many requests each backend server of a service has.
+func (relayer *Relayer) TellBusy(service string, busy map[string]int) {
+	relayer.mutex.Lock()
+	belief := relayer.belief
+	var entries []string
+	now := time.Now()
+	for address, peer := range relayer.peers {
+		if peer.notice.Entry && now.Sub(peer.heard) < peerExpiry {
+			entries = append(entries, address)
+		}
+	}
+	relayer.mutex.Unlock()
+	if belief == nil {
+		return
+	}
+	notice := Notice{
+		From:    relayer.options.Address,
+		Content: belief.Content,
+		Busy:    &Busy{Service: service},
+	}
+	for _, id := range belief.serviceIDs(service) {
+		count, observed := busy[id]
+		if !observed {
+			count = unknownCount
+		}
+		notice.Busy.Counts = append(notice.Busy.Counts, byte(min(count, unknownCount)))
+	}
+	relayer.send(notice, entries)
+}
+
+// busyByID returns the counts of a notice by the ids of the backend servers, and nothing where it speaks of other ones than are known here.
+func (relayer *Relayer) busyByID(notice Notice) map[string]int {
+	belief, _ := relayer.Belief()
+	if belief == nil || belief.Content != notice.Content {
+		return nil
+	}
+	ids := belief.serviceIDs(notice.Busy.Service)
+	if len(ids) != len(notice.Busy.Counts) {
+		return nil
+	}
+	busy := make(map[string]int, len(ids))
+	for i, id := range ids {
+		if count := notice.Busy.Counts[i]; count != unknownCount {
+			busy[id] = int(count)
+		}
+	}
+	return busy
+}
+
 // tell sends notices regularly.
 func (relayer *Relayer) tell(ctx context.Context) {
 	ticker := time.NewTicker(tellInterval)
@@ -138,12 +193,16 @@
 		rand.Shuffle(len(absent), func(i, j int) { absent[i], absent[j] = absent[j], absent[i] })
 		present = append(present, absent[:min(len(absent), seekLimit)]...)
 	}
+	relayer.send(notice, present)
+}
+
+func (relayer *Relayer) send(notice Notice, addresses []string) {
 	text, err := json.Marshal(notice)
 	if err != nil {
 		_ = level.Error(relayer.options.Logger).Log("event", "notice_unencodable", "error", err)
 		return
 	}
-	for _, address := range present {
+	for _, address := range addresses {
 		if target, err := net.ResolveUDPAddr("udp4", address); err == nil {
 			_, _ = relayer.socket.WriteToUDP(text, target) // a lost notice is made good by the next one
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -45,6 +45,8 @@
 	Changed func(before, now *Belief)
 	// Running returns the requests of this entry at each backend server.
 	Running func() map[string]int
+	// HeardBusy is called with the load of backend servers, by id, that a group's controller tells of.
+	HeardBusy func(busy map[string]int)
 	// Heard is called with each notice of a peer.
 	Heard  func(notice Notice)
 	Logger log.Logger
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -37,6 +37,8 @@
 	Members() []Member
 	// Engine returns the published cost model, and nil before a configuration is known.
 	Engine() *cranberryward.EngineModel
+	// Observed is called with the reports of the ranks that answered, by the ids of their backend servers, after each observation.
+	Observed(reports map[string]cranberryward.RankReport)
 }
 
 // Steward controls one group during one term.
@@ -199,6 +201,7 @@
 		steward.demand.observe(observations[i].Report.Rank, observations[i].Report.Born, observations[i].Counts)
 		ranks = append(ranks, rank{id: member.ID, hands: member.Hands, observed: observations[i]})
 	}
+	steward.tell(ranks)
 	steward.ranks = steward.whole(ranks)
 	if len(steward.ranks) == 0 && lost != nil {
 		return lost
@@ -207,6 +210,14 @@
 	return nil
 }
 
+func (steward *Steward) tell(ranks []rank) {
+	reports := make(map[string]cranberryward.RankReport, len(ranks))
+	for _, rank := range ranks {
+		reports[rank.id] = rank.observed.Report
+	}
+	steward.group.Observed(reports)
+}
+
 // whole returns the ranks in their order if they are one open group, and nothing otherwise.
 func (steward *Steward) whole(ranks []rank) []rank {
 	if len(ranks) == 0 {
