--- a/steward/steward.go
+++ b/steward/steward.go
@@ -19,8 +19,8 @@
 	observeTimeout = 400 * time.Millisecond
 	// leastDemand is the number of choices below which the estimate is noise: a few per expert.
 	leastDemandPerExpert = 4
-	// minimumGain is the share of crowding below which a step of the search is not worth a copy.
-	minimumGain = 0.01
+	// minimumGain is the share of crowding that a copy must remove: with its exponent of 8, the busiest rank loses about a twenty-fifth of its load.
+	minimumGain = 0.3
 	// worthwhile is the share of the pass's expert time that a change must save.
 	worthwhile = 0.02
 )
