--- a/planner/increment.go
+++ b/planner/increment.go
@@ -1,7 +1,5 @@
 package planner
 
-import "math"
-
 // crowding is the exponent with which a rank's load counts: high enough that the most loaded ranks decide, and smooth where several are level.
 const crowding = 8
 
@@ -16,6 +14,22 @@
 	Newcomers int
 	// MinimumGain is the share of the crowding that each step must remove.
 	MinimumGain float64
+	// Paces are how much longer than usual each rank takes for the same work; an empty slice takes all ranks as equal.
+	Paces []float64
+}
+
+// Skew returns the time of the slowest rank over the mean for one layer of a placement, with the ranks' paces.
+func (increment Increment) Skew(placement [][]int, loads []float64) float64 {
+	search := newIncrementSearch(increment, placement, loads)
+	slowest, mean := 0.0, 0.0
+	for rank, total := range search.totals {
+		slowest = max(slowest, total*search.pace(rank))
+		mean += total / float64(len(search.totals))
+	}
+	if mean <= 0 {
+		return 1
+	}
+	return slowest / mean
 }
 
 // Improve returns a placement of one layer that a rank can reach by copying a few experts, and how many are copied in all.
@@ -82,8 +96,15 @@
 	return search
 }
 
-func (search *incrementSearch) crowd(total float64) float64 {
-	level := total * search.scale
+func (search *incrementSearch) pace(rank int) float64 {
+	if rank < len(search.increment.Paces) {
+		return search.increment.Paces[rank]
+	}
+	return 1
+}
+
+func (search *incrementSearch) crowd(rank int, total float64) float64 {
+	level := total * search.pace(rank) * search.scale
 	level *= level
 	level *= level
 	return level * level
@@ -92,8 +113,8 @@
 // best returns the step that removes the most crowding.
 func (search *incrementSearch) best() (incrementStep, bool) {
 	crowded := 0.0
-	for _, total := range search.totals {
-		crowded += search.crowd(total)
+	for rank, total := range search.totals {
+		crowded += search.crowd(rank, total)
 	}
 	best := incrementStep{gain: search.increment.MinimumGain * crowded}
 	found := false
@@ -123,18 +144,14 @@
 func (search *incrementSearch) hot() []int {
 	taken := map[int]bool{}
 	var experts []int
-	last := math.Inf(1)
 	for range min(busiestRanks, len(search.totals)) {
 		busiest := -1
 		for rank, total := range search.totals {
-			if !taken[rank] && total <= last && (busiest < 0 || total > search.totals[busiest]) {
+			if !taken[rank] && (busiest < 0 || total*search.pace(rank) > search.totals[busiest]*search.pace(busiest)) {
 				busiest = rank
 			}
 		}
-		if busiest < 0 {
-			break
-		}
-		taken[busiest], last = true, search.totals[busiest]
+		taken[busiest] = true
 		for _, expert := range search.placement[busiest] {
 			if search.loads[expert] > 0 && !holds(experts, expert) {
 				experts = append(experts, expert)
@@ -153,7 +170,7 @@
 		leaving = search.loads[out] / float64(search.counts[out])
 		spread = search.loads[out]/float64(search.counts[out]-1) - leaving
 	}
-	gain := search.crowd(search.totals[rank]) - search.crowd(search.totals[rank]+newIn-leaving)
+	gain := search.crowd(rank, search.totals[rank]) - search.crowd(rank, search.totals[rank]+newIn-leaving)
 	gain += search.relief(rank, in, out, change, spread)
 	if gain > best.gain {
 		*found = true
@@ -181,7 +198,7 @@
 			after += spread
 		}
 		if after != total {
-			relief += search.crowd(total) - search.crowd(after)
+			relief += search.crowd(other, total) - search.crowd(other, after)
 		}
 	}
 	return relief
--- a/steward/change.go
+++ b/steward/change.go
@@ -16,6 +16,8 @@
 	// firstLead is how many passes ahead a change is armed at first; it grows when arming takes longer.
 	firstLead   = 3
 	longestLead = 12
+	// armReserve is how many times as long as it took of late arming may take before it holds the group up.
+	armReserve = 1.5
 	// orderAttempts bounds the repeats of one order whose answers are lost.
 	orderAttempts = 12
 	// copyPoll is how often the ranks are asked whether their copies are complete.
@@ -71,7 +73,7 @@
 	if steward.passTime <= 0 {
 		return
 	}
-	needed := min(uint64(took/steward.passTime)+2, longestLead)
+	needed := min(uint64(armReserve*float64(took)/float64(steward.passTime))+1, longestLead)
 	if needed > steward.lead {
 		steward.lead = needed
 	} else if steward.lead > needed && rand.IntN(4) == 0 {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -14,7 +14,7 @@
 
 const (
 	// observeInterval is how often the ranks are observed; demand shifts within seconds and the reaction should stay well under one.
-	observeInterval = 80 * time.Millisecond
+	observeInterval = 50 * time.Millisecond
 	// observeTimeout bounds one observation of a rank's own instance.
 	observeTimeout = 400 * time.Millisecond
 	// leastDemand is the number of choices below which the estimate is noise: a few per expert.
@@ -136,14 +136,15 @@
 		Places:      engine.Places,
 		Newcomers:   1,
 		MinimumGain: minimumGain,
+		Paces:       steward.paces(),
 	}
 	before, after := 0.0, 0.0
 	perRank := make([]int, len(steward.ranks))
 	for set := range engine.Sets {
 		loads := steward.demand.loads[set*engine.Experts : (set+1)*engine.Experts]
 		improved, _ := increment.Improve(steward.placement[set], loads)
-		before += planner.Skew(steward.placement[set], loads)
-		after += planner.Skew(improved, loads)
+		before += increment.Skew(steward.placement[set], loads)
+		after += increment.Skew(improved, loads)
 		for rank := range improved {
 			perRank[rank] += newcomers(steward.placement[set][rank], improved[rank])
 		}
@@ -158,6 +159,15 @@
 	return next, copies, (before - after) / before
 }
 
+// paces returns how much longer than usual each rank takes.
+func (steward *Steward) paces() []float64 {
+	paces := make([]float64, len(steward.ranks))
+	for i, rank := range steward.ranks {
+		paces[i] = max(rank.observed.Report.Pace, 1)
+	}
+	return paces
+}
+
 func newcomers(before, after []int) int {
 	count := 0
 	for _, expert := range after {
