--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -16,7 +16,7 @@
 	// localTimeout bounds a question to the rank on the same instance, which answers in a few milliseconds.
 	localTimeout = 250 * time.Millisecond
 	// orderTimeout bounds an order to the rank on the same instance; one without an answer is repeated under a new condition.
-	orderTimeout = 100 * time.Millisecond
+	orderTimeout = 50 * time.Millisecond
 	// watchInterval is how often the rank is asked for its state while no controller does, which bounds how late callers learn of it.
 	watchInterval = 250 * time.Millisecond
 )
--- a/steward/change.go
+++ b/steward/change.go
@@ -18,6 +18,8 @@
 	longestLead = 12
 	// armReserve is how many times as long as it took of late arming may take before it holds the group up.
 	armReserve = 1.5
+	// leadMemory is for how many changes a longer lead is kept on average, as lost orders come in spells of seconds.
+	leadMemory = 12
 	// orderAttempts bounds the repeats of one order whose answers are lost.
 	orderAttempts = 12
 	// copyPoll is how often the ranks are asked whether their copies are complete.
@@ -76,7 +78,7 @@
 	needed := min(uint64(armReserve*float64(took)/float64(steward.passTime))+1, longestLead)
 	if needed > steward.lead {
 		steward.lead = needed
-	} else if steward.lead > needed && rand.IntN(4) == 0 {
+	} else if steward.lead > needed && rand.IntN(leadMemory) == 0 {
 		steward.lead--
 	}
 }
