--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -84,6 +84,7 @@
 	}
 	for range resumeLimit + 1 {
 		err := relay.pass(answer)
+		relay.flush()
 		if err == nil {
 			answer.Complete()
 			answer.Finish()
@@ -176,12 +177,19 @@
 			relay.accept(id)
 		}
 		event, id = event[:0], ""
-		if reader.Buffered() == 0 && relay.started {
-			relay.flusher.Flush()
+		if reader.Buffered() == 0 {
+			relay.flush()
 		}
 	}
 }
 
+// flush lets the caller have what was passed on.
+func (relay *relay) flush() {
+	if relay.started && relay.flusher != nil {
+		relay.flusher.Flush()
+	}
+}
+
 // end takes in the proper end of a body, at which no event may be open unless the body's length vouches for it.
 func (relay *relay) end(answer *connector.Answer, rest []byte) error {
 	if len(rest) > 0 && answer.Unframed() {
--- /dev/null
+++ b/standin/scriptserver/doc.go
@@ -0,0 +1,2 @@
+// Package scriptserver stands in for a backend server that answers each request with bytes that a test chooses.
+package scriptserver
