--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -219,3 +219,6 @@
 		_ = level.Info(relayer.options.Logger).Log("event", "belief_changed", "from", from, "at", next.At, "configuration", version, "servers", len(next.Servers), "age_ms", time.Since(readAt).Milliseconds())
 	}
 }
+
+// Address returns where peers reach this process.
+func (relayer *Relayer) Address() string { return relayer.options.Address }
