--- a/planner/increment.go
+++ b/planner/increment.go
@@ -21,27 +21,28 @@
 // Skew returns the time of the slowest rank over the mean for one layer of a placement, with the ranks' paces.
 func (increment Increment) Skew(placement [][]int, loads []float64) float64 {
 	search := newIncrementSearch(increment, placement, loads)
-	slowest, mean := 0.0, 0.0
-	for rank, total := range search.totals {
-		slowest = max(slowest, total*search.pace(rank))
-		mean += total / float64(len(search.totals))
-	}
-	if mean <= 0 {
+	if search.scale <= 0 {
 		return 1
 	}
-	return slowest / mean
+	return search.slowest() * search.scale
 }
 
 // Improve returns a placement of one layer that a rank can reach by copying a few experts, and how many are copied in all.
 func (increment Increment) Improve(placement [][]int, loads []float64) (improved [][]int, copies int) {
 	search := newIncrementSearch(increment, placement, loads)
+	before := search.slowest()
 	for {
 		step, found := search.best()
 		if !found {
-			return search.placement, search.copies
+			break
 		}
 		search.apply(step)
 	}
+	// Less crowding in all may come with a slower slowest rank, which every pass waits for.
+	if search.slowest() > before {
+		return placement, 0
+	}
+	return search.placement, search.copies
 }
 
 type incrementSearch struct {
@@ -96,6 +97,15 @@
 	return search
 }
 
+// slowest returns the time of the slowest rank.
+func (search *incrementSearch) slowest() float64 {
+	slowest := 0.0
+	for rank, total := range search.totals {
+		slowest = max(slowest, total*search.pace(rank))
+	}
+	return slowest
+}
+
 func (search *incrementSearch) pace(rank int) float64 {
 	if rank < len(search.increment.Paces) {
 		return search.increment.Paces[rank]
