--- a/forwarder/lines.go
+++ b/forwarder/lines.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cranberryward/cranberryward/meter"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
@@ -21,6 +22,8 @@
 }
 
 func (lines *lines) ended(exchange *exchange, status int, reason string) {
+	meter.Request(status, reason)
+	meter.Sends(exchange.sends)
 	logger := level.Info(lines.logger)
 	if reason == "" {
 		if lines.calm.Add(1)%calmSample != 1 {
@@ -46,10 +49,14 @@
 // streamed writes the end of a complete stream with what its caller saw of it.
 func (lines *lines) streamed(exchange *exchange, relay *relay) {
 	lateness := relay.lateness(exchange)
+	meter.FirstEvent(relay.firstAt.Sub(exchange.arrived))
+	meter.Pause(relay.longestPause)
 	if lateness == "" {
 		lines.ended(exchange, http.StatusOK, "")
 		return
 	}
+	meter.Request(http.StatusOK, lateness)
+	meter.Sends(exchange.sends)
 	lines.write(level.Info(lines.logger), exchange, http.StatusOK, lateness,
 		"backend_server", relay.server, "prompt_tokens", exchange.facts.PromptTokens, "urgency", exchange.urgency(), "load", fmt.Sprint(relay.load.Running, "/", relay.load.Waiting), "first_ms", relay.firstAt.Sub(exchange.arrived).Milliseconds(), "pause_ms", relay.longestPause.Milliseconds())
 }
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/cranberryward/cranberryward/forwarder"
 	"github.com/cranberryward/cranberryward/gateway/agent"
 	"github.com/cranberryward/cranberryward/gateway/settings"
+	"github.com/cranberryward/cranberryward/meter"
 	"github.com/cranberryward/cranberryward/platform"
 	"github.com/cranberryward/cranberryward/relayer"
 	"github.com/go-kit/log"
@@ -128,6 +129,11 @@
 			_ = server.Serve(listener) // returns when the listener is closed at the end
 		}()
 	}
+	meter.Gauge("in_flight", func() float64 { return float64(entry.forwarder.InFlight()) })
+	meter.Gauge("belief_age_seconds", func() float64 {
+		_, age := entry.relayer.Belief()
+		return age.Seconds()
+	})
 	go entry.relayer.Run(ctx)
 	go entry.share(ctx)
 	return nil
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -13,6 +13,7 @@
 	"github.com/cranberryward/cranberryward/gateway/entry"
 	"github.com/cranberryward/cranberryward/gateway/settings"
 	"github.com/cranberryward/cranberryward/logger"
+	"github.com/cranberryward/cranberryward/meter"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
@@ -80,6 +81,11 @@
 		return err
 	}
 	_ = level.Info(lines).Log("event", "started")
+	go func() {
+		if err := meter.Serve(loaded.Metrics); err != nil {
+			_ = level.Error(lines).Log("event", "metrics_unserved", "error", err)
+		}
+	}()
 	for received := range signals {
 		if received == syscall.SIGHUP {
 			reload(running, lines)
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -27,6 +27,7 @@
 	Ready               string   `json:"ready"`
 	Control             string   `json:"control"`
 	Rank                string   `json:"rank"`
+	Metrics             string   `json:"metrics"`
 	Service             string   `json:"service"`
 	MemoryMB            int64    `json:"memory_mb"`
 	Descriptors         int      `json:"descriptors"`
@@ -75,7 +76,7 @@
 	require(settings.GraceSeconds > 0, "grace_s", settings.GraceSeconds, "more than 0 s")
 	require(settings.RetryRatio >= 0, "retry_ratio", settings.RetryRatio, "0 or more")
 	require(settings.RetryWindowSeconds > 0, "retry_window_s", settings.RetryWindowSeconds, "more than 0 s")
-	for _, optional := range []struct{ name, value string }{{"callers", settings.Callers}, {"ready", settings.Ready}, {"control", settings.Control}, {"rank", settings.Rank}} {
+	for _, optional := range []struct{ name, value string }{{"callers", settings.Callers}, {"ready", settings.Ready}, {"control", settings.Control}, {"rank", settings.Rank}, {"metrics", settings.Metrics}} {
 		require(optional.value == "" || isAddress(optional.value), optional.name, strconv.Quote(optional.value), "HOST:PORT or nothing")
 	}
 	for _, seed := range settings.Seeds {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/caller"
+	"github.com/cranberryward/cranberryward/meter"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
@@ -179,6 +180,7 @@
 		}
 		next, err = relayer.source.ReadView(ctx)
 	}
+	meter.StoreRead(err != nil)
 	relayer.mutex.Lock()
 	relayer.reads++
 	if err != nil {
--- a/steward/change.go
+++ b/steward/change.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/meter"
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 )
@@ -65,7 +66,8 @@
 	}
 	steward.placement, steward.version = next, version
 	steward.changes++
-	_ = level.Info(steward.logger).Log("event", "map_armed", "version", version, "step", step, "copies", copies,
+	meter.MapChange(prepared.Sub(begun), time.Since(prepared))
+	_ = level.Debug(steward.logger).Log("event", "map_armed", "version", version, "step", step, "copies", copies,
 		"prepare_ms", prepared.Sub(begun).Milliseconds(), "arm_ms", time.Since(prepared).Milliseconds(), "lead", steward.lead, "pass_ms", steward.passTime.Milliseconds())
 	return steward.awaitSwitch(ctx, version)
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/meter"
 	"github.com/cranberryward/cranberryward/planner"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -92,6 +93,7 @@
 			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
 				return err
 			}
+			meter.MapFailure()
 			_ = level.Info(steward.logger).Log("event", "map_round_failed", "error", err)
 		}
 		select {
@@ -271,6 +273,7 @@
 		}
 		steward.passTime += (sample - steward.passTime) / 4
 	}
+	meter.PassTime(steward.passTime)
 	if step != steward.lastStep {
 		steward.lastStep, steward.lastSeen = step, now
 	}
