--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -16,7 +16,9 @@
 	// localTimeout bounds a question to the rank on the same instance, which answers in a few milliseconds.
 	localTimeout = 250 * time.Millisecond
 	// orderTimeout bounds an order to the rank on the same instance; one without an answer is repeated under a new condition.
-	orderTimeout = 50 * time.Millisecond
+	orderTimeout = 35 * time.Millisecond
+	// startPatience is how long an agent that has just started waits to hear a controller, which observes each rank many times in it.
+	startPatience = 300 * time.Millisecond
 	// watchInterval is how often the rank is asked for its state while no controller does, which bounds how late callers learn of it.
 	watchInterval = 250 * time.Millisecond
 )
@@ -65,7 +67,7 @@
 		tell:  tell,
 		rank:  platform.NewRank(address),
 		life:  rand.Uint64(),
-		heard: time.Now(),
+		heard: time.Now().Add(startPatience - silenceBeforeCampaign),
 	}
 }
 
--- a/steward/change.go
+++ b/steward/change.go
@@ -19,6 +19,8 @@
 	longestLead = 12
 	// armReserve is how many times as long as it took of late arming may take before it holds the group up.
 	armReserve = 1.5
+	// lostOrderCover is the time in which one lost order is noticed and given again without holding the group up.
+	lostOrderCover = 100 * time.Millisecond
 	// leadMemory is for how many changes a longer lead is kept on average, as lost orders come in spells of seconds.
 	leadMemory = 12
 	// orderAttempts bounds the repeats of one order whose answers are lost.
@@ -77,7 +79,8 @@
 	if steward.passTime <= 0 {
 		return
 	}
-	needed := min(uint64(armReserve*float64(took)/float64(steward.passTime))+1, longestLead)
+	cover := max(armReserve*float64(took), float64(lostOrderCover))
+	needed := min(uint64(cover/float64(steward.passTime))+1, longestLead)
 	if needed > steward.lead {
 		steward.lead = needed
 	} else if steward.lead > needed && rand.IntN(leadMemory) == 0 {
--- a/steward/settle.go
+++ b/steward/settle.go
@@ -9,11 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// unsettled returns whether a rank is held or armed, which between changes only a lost controller or a late order leaves behind.
+// unsettled returns whether a rank is held, or armed unlike the others, which between changes only a lost controller or a late order leaves behind.
 func (steward *Steward) unsettled() bool {
-	return slices.ContainsFunc(steward.ranks, func(rank rank) bool {
-		return rank.observed.Report.Held != 0 || rank.observed.Report.Armed != 0
-	})
+	return steward.heldRanks() > 0 || steward.armedRanks() > 0 && !steward.armedAlike()
 }
 
 // settle completes a change that is armed everywhere, undoes any other, and lets the group go.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -116,8 +116,8 @@
 		return steward.settle(ctx)
 	}
 	engine := steward.group.Engine()
-	if engine == nil || engine.Sets == 0 {
-		return nil
+	if engine == nil || engine.Sets == 0 || steward.armedRanks() > 0 {
+		return nil // without passes an armed map waits for the next request
 	}
 	if err := steward.learnPlacement(ctx, engine); err != nil {
 		return err
