--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -30,6 +30,8 @@
 	silenceBeforeCampaign = 1000 * time.Millisecond
 	// campaignSpread keeps agents from asking for the lease at the same moment.
 	campaignSpread = 600 * time.Millisecond
+	// campaignersPerSpread is for how many agents the spread is meant; it grows with their number.
+	campaignersPerSpread = 16
 	// storeTimeout bounds a call on the store, which answers in milliseconds.
 	storeTimeout = time.Second
 	// tellInterval is how often the controller tells the entries of the load of the ranks; they spread requests by it.
@@ -161,7 +163,7 @@
 // campaign asks for the group's lease whenever no controller is heard.
 func (agent *Agent) campaign(ctx context.Context) {
 	for {
-		spread := time.Duration(rand.Int64N(int64(campaignSpread)))
+		spread := time.Duration(rand.Int64N(int64(campaignSpread) * int64(max(len(agent.Members())/campaignersPerSpread, 1))))
 		if sleep(ctx, spread) != nil {
 			return
 		}
@@ -205,12 +207,19 @@
 func (agent *Agent) takeLease(ctx context.Context) (lease, term uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	key := groupPrefix + agent.settings.Service
+	held, err := agent.store.Get(ctx, key)
+	if err != nil {
+		return 0, 0, eris.Wrap(err, "look for the group's key")
+	}
+	if held.Revision != 0 {
+		return 0, 0, eris.Errorf("%s holds the group's key", held.Value)
+	}
 	ttl := max(leaseTerm, time.Duration(agent.settings.StoreMinimumLeaseMS)*time.Millisecond)
 	lease, err = agent.store.GrantLease(ctx, ttl)
 	if err != nil {
 		return 0, 0, eris.Wrap(err, "grant a lease")
 	}
-	key := groupPrefix + agent.settings.Service
 	value := fmt.Appendf(nil, "%s", agent.settings.PeerAddress())
 	term, err = agent.store.Create(ctx, key, value, lease)
 	if err != nil {
--- a/planner/increment.go
+++ b/planner/increment.go
@@ -1,5 +1,7 @@
 package planner
 
+import "slices"
+
 // crowding is the exponent with which a rank's load counts: high enough that the most loaded ranks decide, and smooth where several are level.
 const crowding = 8
 
@@ -52,6 +54,8 @@
 	held      [][]bool
 	original  [][]bool
 	counts    []int
+	// holders are the ranks that hold each expert.
+	holders   [][]int
 	totals    []float64
 	newcomers []int
 	copies    int
@@ -72,6 +76,7 @@
 		held:      make([][]bool, len(placement)),
 		original:  make([][]bool, len(placement)),
 		counts:    make([]int, len(loads)),
+		holders:   make([][]int, len(loads)),
 		totals:    make([]float64, len(placement)),
 		newcomers: make([]int, len(placement)),
 	}
@@ -82,6 +87,7 @@
 		search.original[rank] = make([]bool, len(loads))
 		for _, expert := range experts {
 			search.counts[expert]++
+			search.holders[expert] = append(search.holders[expert], rank)
 			search.held[rank][expert], search.original[rank][expert] = true, true
 		}
 	}
@@ -196,19 +202,20 @@
 // relief returns the crowding that a step removes from the ranks other than the one that takes the expert in.
 func (search *incrementSearch) relief(rank, in, out int, change, spread float64) float64 {
 	relief := 0.0
-	for other, total := range search.totals {
-		if other == rank {
-			continue
-		}
-		after := total
-		if search.held[other][in] {
-			after += change
-		}
+	for _, other := range search.holders[in] {
+		after := search.totals[other] + change
 		if out >= 0 && search.held[other][out] {
 			after += spread
 		}
-		if after != total {
-			relief += search.crowd(other, total) - search.crowd(other, after)
+		relief += search.crowd(other, search.totals[other]) - search.crowd(other, after)
+	}
+	if out < 0 {
+		return relief
+	}
+	for _, other := range search.holders[out] {
+		if other != rank && !search.held[other][in] {
+			total := search.totals[other]
+			relief += search.crowd(other, total) - search.crowd(other, total+spread)
 		}
 	}
 	return relief
@@ -222,6 +229,7 @@
 			}
 		}
 		search.held[step.rank][step.out] = false
+		search.holders[step.out] = slices.DeleteFunc(search.holders[step.out], func(rank int) bool { return rank == step.rank })
 		search.counts[step.out]--
 		if !search.original[step.rank][step.out] {
 			search.newcomers[step.rank]--
@@ -231,6 +239,7 @@
 		search.placement[step.rank] = append(search.placement[step.rank], step.in)
 	}
 	search.held[step.rank][step.in] = true
+	search.holders[step.in] = append(search.holders[step.in], step.rank)
 	search.counts[step.in]++
 	if !search.original[step.rank][step.in] {
 		search.newcomers[step.rank]++
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -15,7 +15,7 @@
 const (
 	// tellInterval is how often a process tells its peers of itself.
 	tellInterval = 500 * time.Millisecond
-	// peerExpiry is how long a silent peer counts as present: five notices may be lost.
+	// peerExpiry is how long a silent peer counts as present where each notice goes to all: five notices may be lost.
 	peerExpiry = 6 * tellInterval
 	// peerMemory is how long a silent peer is still sought, as after a partition.
 	peerMemory = time.Minute
@@ -23,8 +23,12 @@
 	seekLimit = 4
 	// maxNotice is the largest datagram taken, the largest that UDP carries.
 	maxNotice = 64 << 10
-	// maxPeersTold bounds the addresses named in a notice.
-	maxPeersTold = 128
+	// maxPeersTold bounds the addresses named in a notice; different ones are named each time.
+	maxPeersTold = 8
+	// tellFanout bounds the peers that a regular notice goes to; different ones each time.
+	tellFanout = 12
+	// helloInterval is how often a process that knows nothing asks for a notice.
+	helloInterval = 100 * time.Millisecond
 )
 
 // listen takes in the notices of peers until the socket is closed.
@@ -74,6 +78,7 @@
 		known = &peer{}
 		relayer.peers[notice.From] = known
 	}
+	asks := notice.At == 0 && relayer.belief != nil
 	known.notice, known.heard = notice, now
 	for _, address := range notice.Peers {
 		if relayer.peers[address] == nil && address != relayer.options.Address {
@@ -102,6 +107,15 @@
 	if fetch {
 		go relayer.fetch(notice.From)
 	}
+	if asks {
+		answer, _, _ := relayer.compose()
+		relayer.send(answer, []string{notice.From})
+	}
+}
+
+// expiry returns how long a silent peer counts as present, given how often each of so many peers gets a notice.
+func (relayer *Relayer) expiry() time.Duration {
+	return peerExpiry * time.Duration(len(relayer.peers)/tellFanout+1)
 }
 
 // fetch takes over the belief of a peer that knows more.
@@ -125,9 +139,9 @@
 	relayer.mutex.Lock()
 	belief := relayer.belief
 	var entries []string
-	now := time.Now()
+	now, expiry := time.Now(), relayer.expiry()
 	for address, peer := range relayer.peers {
-		if peer.notice.Entry && now.Sub(peer.heard) < peerExpiry {
+		if peer.notice.Entry && now.Sub(peer.heard) < expiry {
 			entries = append(entries, address)
 		}
 	}
@@ -171,22 +185,27 @@
 
 // tell sends notices regularly.
 func (relayer *Relayer) tell(ctx context.Context) {
-	ticker := time.NewTicker(tellInterval)
-	defer ticker.Stop()
-	relayer.announce(true)
 	for {
+		relayer.announce(false)
+		pause := tellInterval
+		if belief, _ := relayer.Belief(); belief == nil {
+			pause = helloInterval
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
-		relayer.announce(false)
 	}
 }
 
 // announce sends a notice to every present peer and to a few addresses that were not heard from.
 func (relayer *Relayer) announce(urgent bool) {
 	notice, present, absent := relayer.compose()
+	if !urgent && len(present) > tellFanout {
+		rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+		present = present[:tellFanout]
+	}
 	if urgent && len(present) == 0 {
 		present = append(present, absent...)
 	} else {
@@ -217,9 +236,10 @@
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	now := time.Now()
+	expiry := relayer.expiry()
 	for address, peer := range relayer.peers {
 		switch {
-		case !peer.heard.IsZero() && now.Sub(peer.heard) < peerExpiry:
+		case !peer.heard.IsZero() && now.Sub(peer.heard) < expiry:
 			present = append(present, address)
 		case !peer.heard.IsZero() && now.Sub(peer.heard) > peerMemory:
 			delete(relayer.peers, address)
@@ -234,8 +254,9 @@
 		Running:  running,
 		Leaving:  relayer.leaving,
 		Group:    relayer.group,
-		Peers:    present[:min(len(present), maxPeersTold)],
 	}
+	rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+	notice.Peers = present[:min(len(present), maxPeersTold)]
 	if relayer.belief != nil {
 		notice.At, notice.Content = relayer.belief.At, relayer.belief.Content
 		notice.AgeMS = now.Sub(relayer.readAt).Milliseconds()
@@ -277,9 +298,9 @@
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	var notices []Notice
-	now := time.Now()
+	now, expiry := time.Now(), relayer.expiry()
 	for _, peer := range relayer.peers {
-		if !peer.heard.IsZero() && now.Sub(peer.heard) < peerExpiry {
+		if !peer.heard.IsZero() && now.Sub(peer.heard) < expiry {
 			notices = append(notices, peer.notice)
 		}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	fetchTimeout = 500 * time.Millisecond
 	// firstReadSpread keeps processes that start together from reading at the same moment.
 	firstReadSpread = 100 * time.Millisecond
+	// seedPatience is how long a process that has just started waits for a seed's belief before it reads the store itself.
+	seedPatience = 250 * time.Millisecond
 	// shortestRetry and longestRetry are the pauses after failed reads; the longest stays under the bound for a configuration.
 	shortestRetry = 200 * time.Millisecond
 	longestRetry  = 1200 * time.Millisecond
@@ -125,6 +128,9 @@
 // refresh reads the store whenever the belief has grown old.
 func (relayer *Relayer) refresh(ctx context.Context) {
 	pause := time.Duration(rand.Int64N(int64(firstReadSpread)))
+	if !slices.Contains(relayer.options.Seeds, relayer.options.Address) && len(relayer.options.Seeds) > 0 {
+		pause += seedPatience
+	}
 	retry := shortestRetry
 	timeout := readTimeout
 	for {
--- a/steward/change.go
+++ b/steward/change.go
@@ -98,29 +98,62 @@
 	if err := steward.orderAll(ctx, order, func(report cranberryward.RankReport) bool { return report.Prepared >= version }); err != nil {
 		return err
 	}
-	deadline := time.Now().Add(expected + copyPatience)
-	pause := max(expected, copyPoll)
+	if err := sleep(ctx, max(expected, copyPoll)); err != nil {
+		return err
+	}
+	return steward.awaitAll(ctx, copyPatience, func(report cranberryward.RankReport) bool { return report.Prepared == version })
+}
+
+// awaitAll asks the ranks that do not match yet until all do.
+func (steward *Steward) awaitAll(ctx context.Context, patience time.Duration, matches func(cranberryward.RankReport) bool) error {
+	deadline := time.Now().Add(patience)
 	for {
-		if err := sleep(ctx, pause); err != nil {
+		if err := steward.observeUnmatched(ctx, matches); err != nil {
 			return err
 		}
-		pause = copyPoll
-		epoch := steward.epoch
-		if err := steward.observe(ctx, true); err != nil {
-			return err
-		}
-		if len(steward.ranks) == 0 || steward.epoch != epoch {
-			return errEpochEnded
-		}
-		if !slices.ContainsFunc(steward.ranks, func(rank rank) bool { return rank.observed.Report.Prepared != version }) {
+		if !slices.ContainsFunc(steward.ranks, func(rank rank) bool { return !matches(rank.observed.Report) }) {
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return eris.New("copies took too long")
+			return eris.New("the ranks took too long")
+		}
+		if err := sleep(ctx, copyPoll); err != nil {
+			return err
 		}
 	}
 }
 
+// observeUnmatched asks the ranks whose last report does not match, and returns an error when the group has formed anew.
+func (steward *Steward) observeUnmatched(ctx context.Context, matches func(cranberryward.RankReport) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	failures := make([]error, len(steward.ranks))
+	var wait sync.WaitGroup
+	for i := range steward.ranks {
+		rank := &steward.ranks[i]
+		if matches(rank.observed.Report) {
+			continue
+		}
+		wait.Go(func() {
+			observation, err := rank.hands.Observe(ctx, Question{Term: steward.term})
+			if err == nil && (observation.Report.Epoch != steward.epoch || !observation.Report.Open) {
+				err = errEpochEnded
+			}
+			if err == nil {
+				rank.observed.Report = observation.Report
+			}
+			failures[i] = err
+		})
+	}
+	wait.Wait()
+	for _, err := range failures {
+		if eris.Is(err, errEpochEnded) || eris.Is(err, ErrTermEnded) {
+			return err
+		}
+	}
+	return nil
+}
+
 // arm arms a map on all ranks, whose group is held before the pass.
 func (steward *Steward) arm(ctx context.Context, version, step uint64) error {
 	order := cranberryward.RankOrder{
@@ -141,26 +174,23 @@
 	return err
 }
 
-// awaitSwitch waits until the ranks run a map, as nothing can be prepared on an armed rank.
+// awaitSwitch waits until the ranks run a map, as nothing can be prepared on an armed rank; an idle group may take longer.
 func (steward *Steward) awaitSwitch(ctx context.Context, version uint64) error {
-	deadline := time.Now().Add(switchPatience)
-	pause := time.Duration(steward.lead) * steward.passTime / 2
-	for {
-		if err := sleep(ctx, min(max(pause, copyPoll), switchPatience)); err != nil {
+	if err := sleep(ctx, min(max(time.Duration(steward.lead)*steward.passTime/2, copyPoll), switchPatience)); err != nil {
+		return err
+	}
+	// All ranks switch at the same pass, so one of them speaks for all.
+	first := steward.ranks[:1]
+	for deadline := time.Now().Add(switchPatience); time.Now().Before(deadline); {
+		observation, err := first[0].hands.Observe(ctx, Question{Term: steward.term})
+		if err != nil || observation.Report.Epoch != steward.epoch || observation.Report.Map == version {
 			return err
 		}
-		pause = copyPoll
-		epoch := steward.epoch
-		if err := steward.observe(ctx, true); err != nil {
+		if err := sleep(ctx, copyPoll); err != nil {
 			return err
 		}
-		if len(steward.ranks) == 0 || steward.epoch != epoch {
-			return errEpochEnded
-		}
-		if !slices.ContainsFunc(steward.ranks, func(rank rank) bool { return rank.observed.Report.Map != version }) || time.Now().After(deadline) {
-			return nil
-		}
 	}
+	return nil
 }
 
 // orderAll gives an order to all ranks at once and returns an error unless each has carried it out.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -16,6 +16,8 @@
 const (
 	// observeInterval is how often the ranks are observed; demand shifts within seconds and the reaction should stay well under one.
 	observeInterval = 50 * time.Millisecond
+	// sampledRanks is of how many ranks the counts are read: their requests show the demand of all, and the cost does not grow with the group.
+	sampledRanks = 16
 	// observeTimeout bounds one observation of a rank's own instance.
 	observeTimeout = 400 * time.Millisecond
 	// leastDemand is the number of choices below which the estimate is noise: a few per expert.
@@ -86,8 +88,6 @@
 
 // Run controls the group until the context ends or a later term has begun.
 func (steward *Steward) Run(ctx context.Context) error {
-	ticker := time.NewTicker(observeInterval)
-	defer ticker.Stop()
 	for {
 		if err := steward.round(ctx); err != nil {
 			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
@@ -96,14 +96,17 @@
 			meter.MapFailure()
 			_ = level.Info(steward.logger).Log("event", "map_round_failed", "error", err)
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+		if err := sleep(ctx, steward.interval()); err != nil {
+			return err
 		}
 	}
 }
 
+// interval returns the pause between observations, which grows with the group so that their cost does not.
+func (steward *Steward) interval() time.Duration {
+	return observeInterval * time.Duration(max(len(steward.ranks)/sampledRanks, 1))
+}
+
 // round observes the group, frees what is held or armed without need, and changes the map where that pays.
 func (steward *Steward) round(ctx context.Context) error {
 	if err := steward.observe(ctx, true); err != nil {
@@ -194,7 +197,7 @@
 	var wait sync.WaitGroup
 	for i, member := range members {
 		wait.Go(func() {
-			observations[i], failures[i] = member.Hands.Observe(ctx, Question{Term: steward.term, Counts: counts})
+			observations[i], failures[i] = member.Hands.Observe(ctx, Question{Term: steward.term, Counts: counts && steward.sampled(i, len(members))})
 		})
 	}
 	wait.Wait()
@@ -222,6 +225,11 @@
 	return nil
 }
 
+// sampled returns whether a member is one of those whose counts are read, which are spread evenly.
+func (steward *Steward) sampled(index, size int) bool {
+	return size <= sampledRanks || index*sampledRanks/size != (index+1)*sampledRanks/size
+}
+
 func (steward *Steward) tell(ranks []rank) {
 	reports := make(map[string]cranberryward.RankReport, len(ranks))
 	for _, rank := range ranks {
