--- a/gateway/agent/hands.go
+++ b/gateway/agent/hands.go
@@ -18,6 +18,9 @@
 
 	mutex sync.Mutex
 	life  uint64
+	// sent is the last map that the agent is known to have, under its version.
+	sent        [][][]int
+	sentVersion uint64
 }
 
 // Observe returns the state of the rank.
@@ -39,22 +42,19 @@
 	return observe(hands.direct, steward.Question{Placement: question.Placement})
 }
 
-// Order gives the rank an order.
+// Order gives the rank an order; of a map only what differs from the last one is sent, as whole maps fill thin links.
 func (hands *hands) Order(ctx context.Context, term uint64, order cranberryward.RankOrder) (cranberryward.OrderAnswer, error) {
-	hands.mutex.Lock()
-	life := hands.life
-	hands.mutex.Unlock()
-	request := OrderRequest{
-		Term:  term,
-		Life:  life,
-		Order: order,
-	}
-	var reply OrderReply
 	ctx, cancel := context.WithTimeout(ctx, 2*localTimeout)
 	defer cancel()
-	err := hands.calls.Call(ctx, hands.agent, "Rank.Order", request, &reply)
+	request := hands.request(term, order)
+	answer, err := hands.give(ctx, request)
+	if request.Base != 0 && err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonConflict {
+		hands.forget()
+		answer, err = hands.give(ctx, hands.request(term, order))
+	}
 	if err == nil {
-		return reply.Answer, nil
+		hands.remember(order)
+		return answer, nil
 	}
 	failure := cranberryward.FailureOf(err)
 	switch {
@@ -66,3 +66,39 @@
 		return cranberryward.OrderUnknown, err
 	}
 }
+
+func (hands *hands) request(term uint64, order cranberryward.RankOrder) OrderRequest {
+	hands.mutex.Lock()
+	defer hands.mutex.Unlock()
+	request := OrderRequest{
+		Term:  term,
+		Life:  hands.life,
+		Order: order,
+	}
+	if order.Kind == cranberryward.RankPrepare && hands.sentVersion != 0 && len(hands.sent) == len(order.Map) {
+		request.Base, request.Changes = hands.sentVersion, mapChanges(hands.sent, order.Map)
+		request.Order.Map = nil
+	}
+	return request
+}
+
+func (hands *hands) give(ctx context.Context, request OrderRequest) (cranberryward.OrderAnswer, error) {
+	var reply OrderReply
+	err := hands.calls.Call(ctx, hands.agent, "Rank.Order", request, &reply)
+	return reply.Answer, err
+}
+
+func (hands *hands) remember(order cranberryward.RankOrder) {
+	if order.Kind != cranberryward.RankPrepare {
+		return
+	}
+	hands.mutex.Lock()
+	defer hands.mutex.Unlock()
+	hands.sent, hands.sentVersion = order.Map, order.Version
+}
+
+func (hands *hands) forget() {
+	hands.mutex.Lock()
+	defer hands.mutex.Unlock()
+	hands.sent, hands.sentVersion = nil, 0
+}
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -39,6 +39,16 @@
 	Term  uint64
 	Life  uint64
 	Order cranberryward.RankOrder
+	// Base is the version of the map from which the order's map differs by Changes; without one the order holds the whole map.
+	Base    uint64
+	Changes []MapChange
+}
+
+// MapChange is the experts of a rank in one set where two maps differ.
+type MapChange struct {
+	Set     int
+	Rank    int
+	Experts []int
 }
 
 // OrderReply is how the rank answered.
@@ -57,6 +67,9 @@
 	heard time.Time
 
 	orders sync.Mutex
+	// known is the last map that an order held, under its version.
+	known        [][][]int
+	knownVersion uint64
 	// tell takes each report of the rank.
 	tell func(report cranberryward.RankReport)
 	seen time.Time
@@ -96,9 +109,13 @@
 	if err := rankService.follow(request.Term); err != nil {
 		return caller.EncodeError(err)
 	}
+	order, err := rankService.wholeOrder(request)
+	if err != nil {
+		return caller.EncodeError(err)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	answer, err := rankService.rank.Order(ctx, request.Order)
+	answer, err := rankService.rank.Order(ctx, order)
 	if err != nil {
 		answer = cranberryward.OrderUnknown
 	}
@@ -106,6 +123,22 @@
 	return nil
 }
 
+// wholeOrder returns the order with its whole map, made from the last one where only changes came.
+func (rankService *rankService) wholeOrder(request OrderRequest) (cranberryward.RankOrder, error) {
+	order := request.Order
+	if order.Kind != cranberryward.RankPrepare {
+		return order, nil
+	}
+	if request.Base != 0 {
+		if request.Base != rankService.knownVersion {
+			return order, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the map that the order builds on is not known here")
+		}
+		order.Map = applyChanges(rankService.known, request.Changes)
+	}
+	rankService.known, rankService.knownVersion = order.Map, order.Version
+	return order, nil
+}
+
 // follow takes over a later term and refuses an earlier one.
 func (rankService *rankService) follow(term uint64) error {
 	rankService.mutex.Lock()
--- a/planner/increment.go
+++ b/planner/increment.go
@@ -14,7 +14,7 @@
 	Places int
 	// Newcomers is how many experts of a layer a rank may take in with one change.
 	Newcomers int
-	// MinimumGain is the share of the crowding that each step must remove.
+	// MinimumGain is how much crowding each step must remove, as a share of that of the most crowded rank.
 	MinimumGain float64
 	// Paces are how much longer than usual each rank takes for the same work; an empty slice takes all ranks as equal.
 	Paces []float64
@@ -130,7 +130,7 @@
 func (search *incrementSearch) best() (incrementStep, bool) {
 	crowded := 0.0
 	for rank, total := range search.totals {
-		crowded += search.crowd(rank, total)
+		crowded = max(crowded, search.crowd(rank, total))
 	}
 	best := incrementStep{gain: search.increment.MinimumGain * crowded}
 	found := false
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -102,9 +103,10 @@
 	}
 }
 
-// interval returns the pause between observations, which grows with the group so that their cost does not.
+// interval returns the pause between observations, which grows with the root of the group's size: twice the pause for four times the ranks.
 func (steward *Steward) interval() time.Duration {
-	return observeInterval * time.Duration(max(len(steward.ranks)/sampledRanks, 1))
+	growth := math.Sqrt(float64(len(steward.ranks)) / sampledRanks)
+	return time.Duration(float64(observeInterval) * max(growth, 1))
 }
 
 // round observes the group, frees what is held or armed without need, and changes the map where that pays.
