--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -82,3 +82,26 @@
 	}
 	servers.durations[service] = before + time.Duration(durationWeight*float64(duration-before))
 }
+
+// wait estimates how long one more request of a service waits for a slot, from the told loads; it is zero where they are not known.
+func (servers *servers) wait(service string) time.Duration {
+	servers.mutex.Lock()
+	defer servers.mutex.Unlock()
+	var candidates []candidate
+	slots, busy := 0, 0
+	now := time.Now()
+	for _, state := range servers.byName[service] {
+		if state.standing(now, nil) != 0 || state.server.Slots <= 0 {
+			continue
+		}
+		slots += state.server.Slots
+		busy += state.running + state.others
+		candidates = append(candidates, candidate{state: state})
+	}
+	unseen := servers.arrivalsUnseen(candidates, service)
+	if slots == 0 || unseen == 0 {
+		return 0
+	}
+	over := (float64(busy) + unseen - float64(slots)) / float64(slots)
+	return time.Duration(max(over, 0) * float64(servers.durations[service]))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,8 @@
 	longestAnswer = 16 << 20
 	// defaultAllowance applies to a request whose caller and route state no time.
 	defaultAllowance = 30 * time.Second
+	// waitShare is the part of a route's objective that a request may wait for a slot; the rest is for reading its prompt.
+	waitShare = 0.5
 	// stopReserve is the time before a stop's end from which only requests are taken that end before it.
 	stopReserve = 5 * time.Second
 	// stopRetryAfter is when a caller may return, which reaches another entry.
@@ -150,6 +152,9 @@
 	if forwarder.groups.closed(exchange.service) {
 		return closedRetryAfter + time.Duration(rand.Int64N(int64(closedSpread))), "group_broken"
 	}
+	if wait := forwarder.servers.wait(exchange.service); exchange.route.Objective > 0 && wait > time.Duration(waitShare*float64(exchange.route.Objective)) {
+		return wait + time.Duration(rand.Int64N(int64(wait))), "overloaded"
+	}
 	return 0, ""
 }
 
