Ask the more of a copy the calmer the group is

The least gain of a copy falls from 0.5 to 0.15 of the most crowded rank's crowding as passes near the pause objective.

--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -304,6 +304,23 @@
 	return service.Engine
 }
 
+// PauseObjective returns the shortest pause objective of the routes to the group's service.
+func (agent *Agent) PauseObjective() time.Duration {
+	belief, _ := agent.relayer.Belief()
+	if belief == nil || belief.Deployment == nil {
+		return 0
+	}
+	shortest := time.Duration(0)
+	for _, route := range belief.Deployment.Routes {
+		for _, part := range route.Split {
+			if part.Service == agent.settings.Service && route.PauseObjective > 0 && (shortest == 0 || route.PauseObjective < shortest) {
+				shortest = route.PauseObjective
+			}
+		}
+	}
+	return shortest
+}
+
 func sleep(ctx context.Context, pause time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/gateway/agent/steward_test.go
+++ b/gateway/agent/steward_test.go
@@ -120,6 +120,9 @@
 // Members returns the ranks.
 func (bench *bench) Members() []steward.Member { return bench.members }
 
+// PauseObjective is that of a group under pressure.
+func (bench *bench) PauseObjective() time.Duration { return passTime }
+
 // Observed takes no part here.
 func (bench *bench) Observed(map[string]cranberryward.RankReport) {}
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -23,8 +23,14 @@
 	observeTimeout = 400 * time.Millisecond
 	// leastDemand is the number of choices below which the estimate is noise: a few per expert.
 	leastDemandPerExpert = 4
-	// minimumGain is the share of crowding that a copy must remove: with its exponent of 8, the busiest rank loses about a twenty-fifth of its load.
-	minimumGain = 0.3
+	// calmGain and pressedGain are the shares of the most crowded rank's crowding that a copy must remove in a calm group and in one whose
+	// passes take as long as callers bear: copies cost bytes and slow passes down, and pay the more the nearer pauses are to late.
+	// With crowding's exponent of 8, half of it is a twelfth of the rank's load.
+	calmGain    = 0.5
+	pressedGain = 0.15
+	// calmPressure and fullPressure are the shares of the pause objective that a pass takes in both.
+	calmPressure = 0.5
+	fullPressure = 0.9
 	// worthwhile is the share of the pass's expert time that a change must save.
 	worthwhile = 0.02
 )
@@ -41,6 +47,8 @@
 	Members() []Member
 	// Engine returns the published cost model, and nil before a configuration is known.
 	Engine() *cranberryward.EngineModel
+	// PauseObjective returns the longest pause between events that is still on time, and zero where none is configured.
+	PauseObjective() time.Duration
 	// Observed is called with the reports of the ranks that answered, by the ids of their backend servers, after each observation.
 	Observed(reports map[string]cranberryward.RankReport)
 }
@@ -142,7 +150,7 @@
 	increment := planner.Increment{
 		Places:      engine.Places,
 		Newcomers:   1,
-		MinimumGain: minimumGain,
+		MinimumGain: steward.leastGain(),
 		Paces:       steward.paces(),
 	}
 	before, after := 0.0, 0.0
@@ -166,6 +174,17 @@
 	return next, copies, (before - after) / before
 }
 
+// leastGain returns how much crowding a copy must remove under the present length of passes.
+func (steward *Steward) leastGain() float64 {
+	objective := steward.group.PauseObjective()
+	if objective <= 0 {
+		return calmGain
+	}
+	pressure := float64(steward.passTime) / float64(objective)
+	pressed := (pressure - calmPressure) / (fullPressure - calmPressure)
+	return calmGain + (pressedGain-calmGain)*min(max(pressed, 0), 1)
+}
+
 // paces returns how much longer than usual each rank takes.
 func (steward *Steward) paces() []float64 {
 	paces := make([]float64, len(steward.ranks))
