--- a/connector/connector.go
+++ b/connector/connector.go
@@ -18,16 +18,11 @@
 	idlePerServer = 16
 )
 
-// ErrBusy means that the connections allowed to a backend server are all in use.
-var ErrBusy = eris.New("all connections to the backend server are in use")
-
 // Connector keeps connections to backend servers, and its zero value is ready.
 type Connector struct {
 	mutex sync.Mutex
 	idle  map[string][]*connection
 	open  map[string]int
-	// Limit returns how many connections to an address may be open, and zero for no limit.
-	Limit func(address string) int
 }
 
 // take returns an idle connection to the address, or a new one.
@@ -37,9 +32,7 @@
 			return kept, nil
 		}
 	}
-	if !connector.reserve(address) {
-		return nil, ErrBusy
-	}
+	connector.reserve(address)
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
 		Control: setSilenceTimeout,
@@ -78,29 +71,14 @@
 	}
 }
 
-func (connector *Connector) reserve(address string) bool {
-	limit := 0
-	if connector.Limit != nil {
-		limit = connector.Limit(address)
-	}
+func (connector *Connector) reserve(address string) {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
 	if connector.open == nil {
 		connector.open = map[string]int{}
 		connector.idle = map[string][]*connection{}
 	}
-	if limit > 0 && connector.open[address] >= limit {
-		list := connector.idle[address]
-		if len(list) == 0 {
-			return false
-		}
-		oldest := list[0]
-		connector.idle[address] = list[1:]
-		_ = oldest.Close()
-		connector.open[address]--
-	}
 	connector.open[address]++
-	return true
 }
 
 func (connector *Connector) release(address string) {
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -19,21 +19,9 @@
 	lateness = 150 * time.Millisecond
 )
 
-// Request is one send to one backend server.
-type Request struct {
-	Address string
-	// Fresh asks for a new connection, on which no send can cross the backend server's close.
-	Fresh  bool
-	Method string
-	Head   []byte
-	Body   []byte
-	// Expected returns whether a response answers this request and not an earlier one.
-	Expected func(response *http.Response) bool
-}
-
 // Answer is the answer of a backend server, whose body the caller reads and then finishes.
 type Answer struct {
-	Response   *http.Response
+	response   *http.Response
 	connector  *Connector
 	connection *connection
 	stop       func() bool
@@ -115,7 +103,7 @@
 			continue
 		}
 		if request.Expected(response) {
-			answer.Response = response
+			answer.response = response
 			answer.connection.learn(response)
 			return nil
 		}
@@ -127,9 +115,12 @@
 	return eris.New("only answers to other requests came")
 }
 
+// Response returns the head of the answer.
+func (answer *Answer) Response() *http.Response { return answer.response }
+
 // ReadAll returns the whole body, which it refuses to be longer than the limit in bytes.
 func (answer *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Response.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(answer.response.Body, limit+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "answer cut off")
 	}
@@ -145,7 +136,7 @@
 
 // Unframed returns whether the body has no length and ends with its connection.
 func (answer *Answer) Unframed() bool {
-	return answer.Response.ContentLength < 0 && len(answer.Response.TransferEncoding) == 0
+	return answer.response.ContentLength < 0 && len(answer.response.TransferEncoding) == 0
 }
 
 // Finish keeps the connection for later requests where the exchange ended in order, and closes it otherwise.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,7 +12,6 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/connector"
 	"github.com/cranberryward/cranberryward/platform"
-	"github.com/go-kit/log"
 )
 
 const (
@@ -34,18 +33,6 @@
 	startRetryAfter = 500 * time.Millisecond
 )
 
-// Options are what a forwarder is built from.
-type Options struct {
-	Zone        string
-	Drain       time.Duration
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
-	// Entries returns how many entries share the retry budget.
-	Entries func() int
-	Logger  log.Logger
-}
-
 // Forwarder answers callers' requests.
 type Forwarder struct {
 	options   Options
--- /dev/null
+++ b/forwarder/message_options.go
@@ -0,0 +1,19 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// Options are what a forwarder is built from.
+type Options struct {
+	Zone        string
+	Drain       time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Entries returns how many entries share the retry budget.
+	Entries func() int
+	Logger  log.Logger
+}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -75,7 +75,7 @@
 		forwarder.servers.done(state, forwarder.blame(exchange))
 		return false, nil, "unreachable"
 	}
-	facts := platform.ReadAnswer(answer.Response)
+	facts := platform.ReadAnswer(answer.Response())
 	forwarder.servers.observe(state, facts.Load)
 	if facts.NotRun {
 		forwarder.discardBody(answer)
@@ -83,7 +83,7 @@
 		return false, nil, "refused_by_backend_server"
 	}
 	exchange.learn(cranberryward.Ran)
-	status := answer.Response.StatusCode
+	status := answer.Response().StatusCode
 	if status == http.StatusOK && exchange.route.Kind == cranberryward.Streaming && facts.Signed && !facts.Encoded {
 		return forwarder.stream(writer, exchange, state, answer), nil, "stream_broken"
 	}
@@ -94,7 +94,7 @@
 		return false, nil, "answer_broken"
 	}
 	answer.Finish()
-	whole := newHeldAnswer(answer.Response, body, facts)
+	whole := newHeldAnswer(answer.Response(), body, facts)
 	if status >= 200 && status < 300 && (!facts.Signed || facts.Encoded) {
 		forwarder.servers.done(state, outcomeFailed)
 		return false, nil, "answer_unsigned"
@@ -183,12 +183,12 @@
 	return held
 }
 
-func (held *heldAnswer) deliver(writer http.ResponseWriter) {
+func (heldAnswer *heldAnswer) deliver(writer http.ResponseWriter) {
 	header := writer.Header()
-	for name, values := range held.header {
+	for name, values := range heldAnswer.header {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(held.body)))
-	writer.WriteHeader(held.status)
-	_, _ = writer.Write(held.body) // a caller that left ends its own request
+	header.Set("Content-Length", strconv.Itoa(len(heldAnswer.body)))
+	writer.WriteHeader(heldAnswer.status)
+	_, _ = writer.Write(heldAnswer.body) // a caller that left ends its own request
 }
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -154,36 +154,36 @@
 }
 
 // standing returns 0 for a backend server in order, 1 to 3 for last resorts and a negative number for one not to use.
-func (state *serverState) standing(now time.Time, tried map[string]bool) int {
+func (serverState *serverState) standing(now time.Time, tried map[string]bool) int {
 	standing := 0
 	switch {
-	case state.server.Leaving:
+	case serverState.server.Leaving:
 		return -1
-	case !state.vanished.IsZero():
-		if now.Sub(state.vanished) > vanishedGrace {
+	case !serverState.vanished.IsZero():
+		if now.Sub(serverState.vanished) > vanishedGrace {
 			return -1
 		}
 		standing = 2
-	case now.Before(state.pausedTo):
+	case now.Before(serverState.pausedTo):
 		standing = 1
 	}
-	if tried[state.server.ID] {
+	if tried[serverState.server.ID] {
 		standing = 3
 	}
 	return standing
 }
 
-func (state *serverState) cost(now time.Time, zone string) float64 {
-	busy := float64(state.running + state.others)
-	if told := now.Sub(state.toldAt) < toldAge; !told && state.load.Known && now.Sub(state.loadAt) < reportedLoadAge {
-		busy = max(busy, float64(state.load.Running+state.load.Waiting-1))
+func (serverState *serverState) cost(now time.Time, zone string) float64 {
+	busy := float64(serverState.running + serverState.others)
+	if told := now.Sub(serverState.toldAt) < toldAge; !told && serverState.load.Known && now.Sub(serverState.loadAt) < reportedLoadAge {
+		busy = max(busy, float64(serverState.load.Running+serverState.load.Waiting-1))
 	}
-	cost := busy + failurePenalty*state.failing + rand.Float64()*0.3
-	if state.server.Zone != zone {
+	cost := busy + failurePenalty*serverState.failing + rand.Float64()*0.3
+	if serverState.server.Zone != zone {
 		cost += otherZonePenalty
 	}
-	if state.delay > 0 {
-		cost += state.delay * (busy + 1)
+	if serverState.delay > 0 {
+		cost += serverState.delay * (busy + 1)
 	}
 	return cost
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -77,7 +77,7 @@
 		lastID:  exchange.facts.LastEventID,
 		lastSeq: -1,
 		server:  state.server.ID,
-		load:    platform.ReadAnswer(answer.Response).Load,
+		load:    platform.ReadAnswer(answer.Response()).Load,
 	}
 	if number, err := strconv.ParseInt(exchange.facts.LastEventID, 10, 64); err == nil {
 		relay.lastSeq = number
@@ -131,8 +131,8 @@
 			forwarder.servers.done(state, forwarder.blame(exchange))
 			continue
 		}
-		facts := platform.ReadAnswer(answer.Response)
-		if answer.Response.StatusCode == http.StatusOK && facts.Signed && !facts.Encoded {
+		facts := platform.ReadAnswer(answer.Response())
+		if answer.Response().StatusCode == http.StatusOK && facts.Signed && !facts.Encoded {
 			return state, answer
 		}
 		outcome := outcomeFailed
@@ -147,7 +147,7 @@
 
 // pass passes on whole events until the stream's proper end, and returns an error where it broke.
 func (relay *relay) pass(answer *connector.Answer) error {
-	reader := bufio.NewReaderSize(answer.Response.Body, 4<<10)
+	reader := bufio.NewReaderSize(answer.Response().Body, 4<<10)
 	var event []byte
 	var id string
 	for {
@@ -226,7 +226,7 @@
 		return
 	}
 	relay.started = true
-	platform.CopyAnswerHeaders(relay.writer.Header(), answer.Response.Header)
+	platform.CopyAnswerHeaders(relay.writer.Header(), answer.Response().Header)
 	relay.writer.Header().Del("Content-Length")
-	relay.writer.WriteHeader(answer.Response.StatusCode)
+	relay.writer.WriteHeader(answer.Response().StatusCode)
 }
--- /dev/null
+++ b/gateway/agent/group.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"net"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/platform"
+	"github.com/cranberryward/cranberryward/steward"
+)
+
+// Members returns the ranks that are registered now.
+func (agent *Agent) Members() []steward.Member {
+	belief, _ := agent.relayer.Belief()
+	if belief == nil {
+		return nil
+	}
+	agent.mutex.Lock()
+	defer agent.mutex.Unlock()
+	var members []steward.Member
+	for id, server := range belief.Servers {
+		if server.Service != agent.settings.Service {
+			continue
+		}
+		known := agent.members[server.Address]
+		if known == nil {
+			host, _, err := net.SplitHostPort(server.Address)
+			if err != nil {
+				continue // the platform registered no HOST:PORT, so there is no rank to reach
+			}
+			known = &hands{
+				calls:  agent.calls,
+				agent:  agent.settings.PeerAt(host),
+				direct: platform.NewRank(server.Address),
+			}
+			agent.members[server.Address] = known
+		}
+		members = append(members, steward.Member{
+			ID:    id,
+			Hands: known,
+		})
+	}
+	return members
+}
+
+// Observed tells the entries how many requests each rank of the group has.
+func (agent *Agent) Observed(reports map[string]cranberryward.RankReport) {
+	agent.mutex.Lock()
+	now := time.Now()
+	due := now.Sub(agent.told) >= tellInterval
+	if due {
+		agent.told = now
+	}
+	agent.mutex.Unlock()
+	if !due {
+		return
+	}
+	busy := make(map[string]int, len(reports))
+	for id, report := range reports {
+		busy[id] = report.Running + report.Waiting
+	}
+	agent.relayer.TellBusy(agent.settings.Service, busy)
+}
+
+// Engine returns the cost model of the group's service.
+func (agent *Agent) Engine() *cranberryward.EngineModel {
+	belief, _ := agent.relayer.Belief()
+	if belief == nil || belief.Deployment == nil {
+		return nil
+	}
+	service, _ := belief.Deployment.Service(agent.settings.Service)
+	return service.Engine
+}
+
+// PauseObjective returns the shortest pause objective of the routes to the group's service.
+func (agent *Agent) PauseObjective() time.Duration {
+	belief, _ := agent.relayer.Belief()
+	if belief == nil || belief.Deployment == nil {
+		return 0
+	}
+	shortest := time.Duration(0)
+	for _, route := range belief.Deployment.Routes {
+		for _, part := range route.Split {
+			if part.Service == agent.settings.Service && route.PauseObjective > 0 && (shortest == 0 || route.PauseObjective < shortest) {
+				shortest = route.PauseObjective
+			}
+		}
+	}
+	return shortest
+}
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -23,39 +23,6 @@
 	watchInterval = 250 * time.Millisecond
 )
 
-// ObserveRequest asks an agent for the state of its rank.
-type ObserveRequest struct {
-	Question steward.Question
-}
-
-// ObserveReply is the state of a rank with the life of the agent that saw it.
-type ObserveReply struct {
-	Observation steward.Observation
-	Life        uint64
-}
-
-// OrderRequest asks an agent to give its rank an order, in the life in which the agent learned the term.
-type OrderRequest struct {
-	Term  uint64
-	Life  uint64
-	Order cranberryward.RankOrder
-	// Base is the version of the map from which the order's map differs by Changes; without one the order holds the whole map.
-	Base    uint64
-	Changes []MapChange
-}
-
-// MapChange is the experts of a rank in one set where two maps differ.
-type MapChange struct {
-	Set     int
-	Rank    int
-	Experts []int
-}
-
-// OrderReply is how the rank answered.
-type OrderReply struct {
-	Answer cranberryward.OrderAnswer
-}
-
 // rankService answers the controller of the group.
 type rankService struct {
 	rank *platform.Rank
--- a/gateway/agent/steward_test.go
+++ b/gateway/agent/steward_test.go
@@ -233,8 +233,9 @@
 		"the group breaks again and again": func(bench *bench, random *rand.Rand) {
 			for range 6 {
 				bench.awaitSwitches(1)
+				last := bench.group.Step() + uint64(random.IntN(8))
+				bench.await("some passes", func() bool { return bench.group.Step() >= last })
 				bench.group.Break()
-				time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 				bench.group.Form()
 			}
 		},
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -68,12 +68,15 @@
 	}
 	route := func(name string, kind cranberryward.RequestKind, resumable bool) cranberryward.Route {
 		return cranberryward.Route{
-			Name:         name,
-			Host:         "front.example",
-			Prefix:       "/" + name + "/",
-			Kind:         kind,
-			Timeout:      2 * time.Second,
-			Split:        []cranberryward.ServiceShare{{Service: "app", Weight: 1}},
+			Name:    name,
+			Host:    "front.example",
+			Prefix:  "/" + name + "/",
+			Kind:    kind,
+			Timeout: 2 * time.Second,
+			Split: []cranberryward.ServiceShare{{
+				Service: "app",
+				Weight:  1,
+			}},
 			AttemptLimit: 2,
 			Resumable:    resumable,
 		}
@@ -87,9 +90,12 @@
 			route("stream", cranberryward.Streaming, true),
 			route("once", cranberryward.Streaming, false),
 		},
-		Services:   []cranberryward.BackendService{{Name: "app"}},
-		Workspaces: []cranberryward.Workspace{{Name: "quito", Keys: []string{"key-1"}}},
-		Limits:     cranberryward.RequestLimits{BodyBytes: 1 << 20},
+		Services: []cranberryward.BackendService{{Name: "app"}},
+		Workspaces: []cranberryward.Workspace{{
+			Name: "quito",
+			Keys: []string{"key-1"},
+		}},
+		Limits: cranberryward.RequestLimits{BodyBytes: 1 << 20},
 	}
 	for i, script := range scripts {
 		server, err := scriptserver.New(script)
@@ -335,7 +341,10 @@
 func (stage *stage) configure(revision uint64, key string) {
 	deployment := *stage.view.Deployment
 	deployment.Revision = revision
-	deployment.Workspaces = []cranberryward.Workspace{{Name: "quito", Keys: []string{key}}}
+	deployment.Workspaces = []cranberryward.Workspace{{
+		Name: "quito",
+		Keys: []string{key},
+	}}
 	view := stage.view
 	view.Deployment = &deployment
 	stage.forwarder.Configure(view)
--- /dev/null
+++ b/gateway/settings/message_settings.go
@@ -0,0 +1,28 @@
+package settings
+
+// Settings are the settings of one process; times are in the unit of their name.
+type Settings struct {
+	Instance            string   `json:"instance"`
+	Zone                string   `json:"zone"`
+	Address             string   `json:"address"`
+	FirstPort           int      `json:"first_port"`
+	Seeds               []string `json:"seeds"`
+	Callers             string   `json:"callers"`
+	Ready               string   `json:"ready"`
+	Control             string   `json:"control"`
+	Rank                string   `json:"rank"`
+	Metrics             string   `json:"metrics"`
+	Service             string   `json:"service"`
+	MemoryMB            int64    `json:"memory_mb"`
+	Descriptors         int      `json:"descriptors"`
+	Store               string   `json:"store"`
+	StoreMinimumLeaseMS int64    `json:"store_minimum_lease_ms"`
+	DrainMS             int64    `json:"drain_ms"`
+	GraceSeconds        float64  `json:"grace_s"`
+	ConfigurationMS     int64    `json:"configuration_ms"`
+	StableMS            int64    `json:"stable_ms"`
+	RetryRatio          float64  `json:"retry_ratio"`
+	RetryWindowSeconds  float64  `json:"retry_window_s"`
+	RetrySlack          float64  `json:"retry_slack"`
+	StallMS             int64    `json:"stall_ms"`
+}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -1,10 +1,8 @@
-// Package settings reads what a process of the gateway is told at its start and on each reload.
 package settings
 
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"strconv"
@@ -16,33 +14,6 @@
 // Variable is the environment variable that holds the path of the settings file.
 const Variable = "CRANBERRYWARD_SETTINGS"
 
-// Settings are the settings of one process; times are in the unit of their name.
-type Settings struct {
-	Instance            string   `json:"instance"`
-	Zone                string   `json:"zone"`
-	Address             string   `json:"address"`
-	FirstPort           int      `json:"first_port"`
-	Seeds               []string `json:"seeds"`
-	Callers             string   `json:"callers"`
-	Ready               string   `json:"ready"`
-	Control             string   `json:"control"`
-	Rank                string   `json:"rank"`
-	Metrics             string   `json:"metrics"`
-	Service             string   `json:"service"`
-	MemoryMB            int64    `json:"memory_mb"`
-	Descriptors         int      `json:"descriptors"`
-	Store               string   `json:"store"`
-	StoreMinimumLeaseMS int64    `json:"store_minimum_lease_ms"`
-	DrainMS             int64    `json:"drain_ms"`
-	GraceSeconds        float64  `json:"grace_s"`
-	ConfigurationMS     int64    `json:"configuration_ms"`
-	StableMS            int64    `json:"stable_ms"`
-	RetryRatio          float64  `json:"retry_ratio"`
-	RetryWindowSeconds  float64  `json:"retry_window_s"`
-	RetrySlack          float64  `json:"retry_slack"`
-	StallMS             int64    `json:"stall_ms"`
-}
-
 // Load reads and checks the settings file.
 func Load(path string) (Settings, error) {
 	var settings Settings
@@ -64,7 +35,7 @@
 	var faults []error
 	require := func(good bool, name string, value any, expected string) {
 		if !good {
-			faults = append(faults, fmt.Errorf("%s: %v, expected %s", name, value, expected))
+			faults = append(faults, eris.Errorf("%s: %v, expected %s", name, value, expected))
 		}
 	}
 	require(settings.Instance != "", "instance", strconv.Quote(settings.Instance), "a name")
--- a/planner/increment.go
+++ b/planner/increment.go
@@ -2,24 +2,9 @@
 
 import "slices"
 
-// crowding is the exponent with which a rank's load counts: high enough that the most loaded ranks decide, and smooth where several are level.
-const crowding = 8
-
 // busiestRanks is how many of the most loaded ranks an increment relieves at each step of its search.
 const busiestRanks = 3
 
-// Increment bounds one small change of a placement.
-type Increment struct {
-	// Places is how many experts of a layer a rank can hold.
-	Places int
-	// Newcomers is how many experts of a layer a rank may take in with one change.
-	Newcomers int
-	// MinimumGain is how much crowding each step must remove, as a share of that of the most crowded rank.
-	MinimumGain float64
-	// Paces are how much longer than usual each rank takes for the same work; an empty slice takes all ranks as equal.
-	Paces []float64
-}
-
 // Skew returns the time of the slowest rank over the mean for one layer of a placement, with the ranks' paces.
 func (increment Increment) Skew(placement [][]int, loads []float64) float64 {
 	search := newIncrementSearch(increment, placement, loads)
@@ -104,51 +89,52 @@
 }
 
 // slowest returns the time of the slowest rank.
-func (search *incrementSearch) slowest() float64 {
+func (incrementSearch *incrementSearch) slowest() float64 {
 	slowest := 0.0
-	for rank, total := range search.totals {
-		slowest = max(slowest, total*search.pace(rank))
+	for rank, total := range incrementSearch.totals {
+		slowest = max(slowest, total*incrementSearch.pace(rank))
 	}
 	return slowest
 }
 
-func (search *incrementSearch) pace(rank int) float64 {
-	if rank < len(search.increment.Paces) {
-		return search.increment.Paces[rank]
+func (incrementSearch *incrementSearch) pace(rank int) float64 {
+	if rank < len(incrementSearch.increment.Paces) {
+		return incrementSearch.increment.Paces[rank]
 	}
 	return 1
 }
 
-func (search *incrementSearch) crowd(rank int, total float64) float64 {
-	level := total * search.pace(rank) * search.scale
+// crowd returns the eighth power of a rank's relative load: high enough that the most loaded ranks decide, and smooth where several are level.
+func (incrementSearch *incrementSearch) crowd(rank int, total float64) float64 {
+	level := total * incrementSearch.pace(rank) * incrementSearch.scale
 	level *= level
 	level *= level
 	return level * level
 }
 
 // best returns the step that removes the most crowding.
-func (search *incrementSearch) best() (incrementStep, bool) {
+func (incrementSearch *incrementSearch) best() (incrementStep, bool) {
 	crowded := 0.0
-	for rank, total := range search.totals {
-		crowded = max(crowded, search.crowd(rank, total))
+	for rank, total := range incrementSearch.totals {
+		crowded = max(crowded, incrementSearch.crowd(rank, total))
 	}
-	best := incrementStep{gain: search.increment.MinimumGain * crowded}
+	best := incrementStep{gain: incrementSearch.increment.MinimumGain * crowded}
 	found := false
-	for _, in := range search.hot() {
-		for rank := range search.placement {
-			if search.held[rank][in] {
+	for _, in := range incrementSearch.hot() {
+		for rank := range incrementSearch.placement {
+			if incrementSearch.held[rank][in] {
 				continue
 			}
-			returning := search.original[rank][in]
-			if !returning && search.newcomers[rank] >= search.increment.Newcomers {
+			returning := incrementSearch.original[rank][in]
+			if !returning && incrementSearch.newcomers[rank] >= incrementSearch.increment.Newcomers {
 				continue
 			}
-			if len(search.placement[rank]) < search.increment.Places {
-				search.consider(&best, &found, rank, in, -1)
+			if len(incrementSearch.placement[rank]) < incrementSearch.increment.Places {
+				incrementSearch.consider(&best, &found, rank, in, -1)
 			}
-			for _, out := range search.placement[rank] {
-				if search.counts[out] > 1 {
-					search.consider(&best, &found, rank, in, out)
+			for _, out := range incrementSearch.placement[rank] {
+				if incrementSearch.counts[out] > 1 {
+					incrementSearch.consider(&best, &found, rank, in, out)
 				}
 			}
 		}
@@ -157,19 +143,19 @@
 }
 
 // hot returns the experts of the most loaded ranks.
-func (search *incrementSearch) hot() []int {
+func (incrementSearch *incrementSearch) hot() []int {
 	taken := map[int]bool{}
 	var experts []int
-	for range min(busiestRanks, len(search.totals)) {
+	for range min(busiestRanks, len(incrementSearch.totals)) {
 		busiest := -1
-		for rank, total := range search.totals {
-			if !taken[rank] && (busiest < 0 || total*search.pace(rank) > search.totals[busiest]*search.pace(busiest)) {
+		for rank, total := range incrementSearch.totals {
+			if !taken[rank] && (busiest < 0 || total*incrementSearch.pace(rank) > incrementSearch.totals[busiest]*incrementSearch.pace(busiest)) {
 				busiest = rank
 			}
 		}
 		taken[busiest] = true
-		for _, expert := range search.placement[busiest] {
-			if search.loads[expert] > 0 && !holds(experts, expert) {
+		for _, expert := range incrementSearch.placement[busiest] {
+			if incrementSearch.loads[expert] > 0 && !holds(experts, expert) {
 				experts = append(experts, expert)
 			}
 		}
@@ -178,16 +164,16 @@
 }
 
 // consider weighs one step by the crowding of the ranks that it touches.
-func (search *incrementSearch) consider(best *incrementStep, found *bool, rank, in, out int) {
-	newIn := search.loads[in] / float64(search.counts[in]+1)
-	change := newIn - search.loads[in]/float64(search.counts[in])
+func (incrementSearch *incrementSearch) consider(best *incrementStep, found *bool, rank, in, out int) {
+	newIn := incrementSearch.loads[in] / float64(incrementSearch.counts[in]+1)
+	change := newIn - incrementSearch.loads[in]/float64(incrementSearch.counts[in])
 	leaving, spread := 0.0, 0.0
 	if out >= 0 {
-		leaving = search.loads[out] / float64(search.counts[out])
-		spread = search.loads[out]/float64(search.counts[out]-1) - leaving
+		leaving = incrementSearch.loads[out] / float64(incrementSearch.counts[out])
+		spread = incrementSearch.loads[out]/float64(incrementSearch.counts[out]-1) - leaving
 	}
-	gain := search.crowd(rank, search.totals[rank]) - search.crowd(rank, search.totals[rank]+newIn-leaving)
-	gain += search.relief(rank, in, out, change, spread)
+	gain := incrementSearch.crowd(rank, incrementSearch.totals[rank]) - incrementSearch.crowd(rank, incrementSearch.totals[rank]+newIn-leaving)
+	gain += incrementSearch.relief(rank, in, out, change, spread)
 	if gain > best.gain {
 		*found = true
 		*best = incrementStep{
@@ -200,59 +186,59 @@
 }
 
 // relief returns the crowding that a step removes from the ranks other than the one that takes the expert in.
-func (search *incrementSearch) relief(rank, in, out int, change, spread float64) float64 {
+func (incrementSearch *incrementSearch) relief(rank, in, out int, change, spread float64) float64 {
 	relief := 0.0
-	for _, other := range search.holders[in] {
-		after := search.totals[other] + change
-		if out >= 0 && search.held[other][out] {
+	for _, other := range incrementSearch.holders[in] {
+		after := incrementSearch.totals[other] + change
+		if out >= 0 && incrementSearch.held[other][out] {
 			after += spread
 		}
-		relief += search.crowd(other, search.totals[other]) - search.crowd(other, after)
+		relief += incrementSearch.crowd(other, incrementSearch.totals[other]) - incrementSearch.crowd(other, after)
 	}
 	if out < 0 {
 		return relief
 	}
-	for _, other := range search.holders[out] {
-		if other != rank && !search.held[other][in] {
-			total := search.totals[other]
-			relief += search.crowd(other, total) - search.crowd(other, total+spread)
+	for _, other := range incrementSearch.holders[out] {
+		if other != rank && !incrementSearch.held[other][in] {
+			total := incrementSearch.totals[other]
+			relief += incrementSearch.crowd(other, total) - incrementSearch.crowd(other, total+spread)
 		}
 	}
 	return relief
 }
 
-func (search *incrementSearch) apply(step incrementStep) {
+func (incrementSearch *incrementSearch) apply(step incrementStep) {
 	if step.out >= 0 {
-		for i, expert := range search.placement[step.rank] {
+		for i, expert := range incrementSearch.placement[step.rank] {
 			if expert == step.out {
-				search.placement[step.rank][i] = step.in
+				incrementSearch.placement[step.rank][i] = step.in
 			}
 		}
-		search.held[step.rank][step.out] = false
-		search.holders[step.out] = slices.DeleteFunc(search.holders[step.out], func(rank int) bool { return rank == step.rank })
-		search.counts[step.out]--
-		if !search.original[step.rank][step.out] {
-			search.newcomers[step.rank]--
-			search.copies--
+		incrementSearch.held[step.rank][step.out] = false
+		incrementSearch.holders[step.out] = slices.DeleteFunc(incrementSearch.holders[step.out], func(rank int) bool { return rank == step.rank })
+		incrementSearch.counts[step.out]--
+		if !incrementSearch.original[step.rank][step.out] {
+			incrementSearch.newcomers[step.rank]--
+			incrementSearch.copies--
 		}
 	} else {
-		search.placement[step.rank] = append(search.placement[step.rank], step.in)
+		incrementSearch.placement[step.rank] = append(incrementSearch.placement[step.rank], step.in)
 	}
-	search.held[step.rank][step.in] = true
-	search.holders[step.in] = append(search.holders[step.in], step.rank)
-	search.counts[step.in]++
-	if !search.original[step.rank][step.in] {
-		search.newcomers[step.rank]++
-		search.copies++
+	incrementSearch.held[step.rank][step.in] = true
+	incrementSearch.holders[step.in] = append(incrementSearch.holders[step.in], step.rank)
+	incrementSearch.counts[step.in]++
+	if !incrementSearch.original[step.rank][step.in] {
+		incrementSearch.newcomers[step.rank]++
+		incrementSearch.copies++
 	}
-	search.sumUp()
+	incrementSearch.sumUp()
 }
 
-func (search *incrementSearch) sumUp() {
-	for rank, experts := range search.placement {
-		search.totals[rank] = 0
+func (incrementSearch *incrementSearch) sumUp() {
+	for rank, experts := range incrementSearch.placement {
+		incrementSearch.totals[rank] = 0
 		for _, expert := range experts {
-			search.totals[rank] += search.loads[expert] / float64(search.counts[expert])
+			incrementSearch.totals[rank] += incrementSearch.loads[expert] / float64(incrementSearch.counts[expert])
 		}
 	}
 }
--- a/planner/increment_test.go
+++ b/planner/increment_test.go
@@ -28,11 +28,32 @@
 		skewUnder float64
 		copies    bool
 	}{
-		"even demand moves nothing":            {Increment{Places: 5, Newcomers: 1, MinimumGain: 0.3}, hot(64, 1), 1, 1.01, false},
-		"no demand moves nothing":              {Increment{Places: 5, Newcomers: 1, MinimumGain: 0.3}, make([]float64, 64), 1, 1.01, false},
-		"a hot expert is spread in few steps":  {Increment{Places: 5, Newcomers: 1, MinimumGain: 0.1}, hot(64, 24), 3, 1.7, true},
-		"no free place replaces what is twice": {Increment{Places: 4, Newcomers: 1, MinimumGain: 0.1}, hot(64, 24), 3, 5, false},
-		"a slow rank is relieved":              {Increment{Places: 5, Newcomers: 1, MinimumGain: 0.05, Paces: append([]float64{3}, make16()...)}, hot(64, 1), 6, 2.2, true},
+		"even demand moves nothing": {Increment{
+			Places:      5,
+			Newcomers:   1,
+			MinimumGain: 0.3,
+		}, hot(64, 1), 1, 1.01, false},
+		"no demand moves nothing": {Increment{
+			Places:      5,
+			Newcomers:   1,
+			MinimumGain: 0.3,
+		}, make([]float64, 64), 1, 1.01, false},
+		"a hot expert is spread in few steps": {Increment{
+			Places:      5,
+			Newcomers:   1,
+			MinimumGain: 0.1,
+		}, hot(64, 24), 3, 1.7, true},
+		"no free place replaces what is twice": {Increment{
+			Places:      4,
+			Newcomers:   1,
+			MinimumGain: 0.1,
+		}, hot(64, 24), 3, 5, false},
+		"a slow rank is relieved": {Increment{
+			Places:      5,
+			Newcomers:   1,
+			MinimumGain: 0.05,
+			Paces:       append([]float64{3}, make16()...),
+		}, hot(64, 1), 6, 2.2, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			placement := inTurn(16, 64)
@@ -99,7 +120,11 @@
 		for expert := range experts {
 			placement[expert%int(ranks)] = append(placement[expert%int(ranks)], expert)
 		}
-		increment := Increment{Places: int(each) + 1, Newcomers: int(newcomers % 4), MinimumGain: 0.01}
+		increment := Increment{
+			Places:      int(each) + 1,
+			Newcomers:   int(newcomers % 4),
+			MinimumGain: 0.01,
+		}
 		for range 4 {
 			loads := make([]float64, experts)
 			for i := range loads {
--- a/planner/message.go
+++ b/planner/message.go
@@ -48,3 +48,15 @@
 	Sequence uint64      `json:"sequence"`
 	Loads    [][]float32 `json:"loads"`
 }
+
+// Increment bounds one small change of a placement.
+type Increment struct {
+	// Places is how many experts of a layer a rank can hold.
+	Places int
+	// Newcomers is how many experts of a layer a rank may take in with one change.
+	Newcomers int
+	// MinimumGain is how much crowding each step must remove, as a share of that of the most crowded rank.
+	MinimumGain float64
+	// Paces are how much longer than usual each rank takes for the same work; an empty slice takes all ranks as equal.
+	Paces []float64
+}
--- /dev/null
+++ b/relayer/message_notice.go
@@ -0,0 +1,57 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+// Belief is what the store held at a revision, as one process read it and others took over; it is never changed once made.
+type Belief struct {
+	cranberryward.View
+	// Content tells beliefs with equal meaning: those whose revisions differ by heartbeats only.
+	Content uint64
+}
+
+// Notice is what a process tells its peers of its belief and of its load.
+type Notice struct {
+	From     string   `json:"from"`
+	Instance string   `json:"instance"`
+	Entry    bool     `json:"entry,omitempty"`
+	Zone     string   `json:"zone"`
+	At       uint64   `json:"at"`
+	AgeMS    int64    `json:"age_ms"`
+	Content  uint64   `json:"content"`
+	Peers    []string `json:"peers,omitempty"`
+	// Running counts the requests of this entry at each backend server, by id.
+	Running map[string]int `json:"running,omitempty"`
+	// Group is the state of the group of the rank beside this agent.
+	Group *GroupState `json:"group,omitempty"`
+	// Busy is the load of the backend servers of a service.
+	Busy *Busy `json:"busy,omitempty"`
+	// Leaving is whether the process is about to end.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// GroupState is what one rank says of the group that serves a service.
+type GroupState struct {
+	Service string `json:"service"`
+	Epoch   uint64 `json:"epoch"`
+	Open    bool   `json:"open"`
+}
+
+// Busy counts the requests at each backend server of a service, in the order of their ids in the belief with the notice's content.
+type Busy struct {
+	Service string `json:"service"`
+	// Counts has one byte for a backend server; 255 stands for an unknown count.
+	Counts []byte `json:"counts"`
+}
+
+// FetchRequest asks a peer for its belief.
+type FetchRequest struct{}
+
+// FetchReply is a peer's belief with its age.
+type FetchReply struct {
+	Belief *Belief
+	Age    time.Duration
+}
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -134,55 +134,6 @@
 	relayer.adopt(reply.Belief, time.Now().Add(-reply.Age), address)
 }
 
-// TellBusy tells the entries how many requests each backend server of a service has.
-func (relayer *Relayer) TellBusy(service string, busy map[string]int) {
-	relayer.mutex.Lock()
-	belief := relayer.belief
-	var entries []string
-	now, expiry := time.Now(), relayer.expiry()
-	for address, peer := range relayer.peers {
-		if peer.notice.Entry && now.Sub(peer.heard) < expiry {
-			entries = append(entries, address)
-		}
-	}
-	relayer.mutex.Unlock()
-	if belief == nil {
-		return
-	}
-	notice := Notice{
-		From:    relayer.options.Address,
-		Content: belief.Content,
-		Busy:    &Busy{Service: service},
-	}
-	for _, id := range belief.serviceIDs(service) {
-		count, observed := busy[id]
-		if !observed {
-			count = unknownCount
-		}
-		notice.Busy.Counts = append(notice.Busy.Counts, byte(min(count, unknownCount)))
-	}
-	relayer.send(notice, entries)
-}
-
-// busyByID returns the counts of a notice by the ids of the backend servers, and nothing where it speaks of other ones than are known here.
-func (relayer *Relayer) busyByID(notice Notice) map[string]int {
-	belief, _ := relayer.Belief()
-	if belief == nil || belief.Content != notice.Content {
-		return nil
-	}
-	ids := belief.serviceIDs(notice.Busy.Service)
-	if len(ids) != len(notice.Busy.Counts) {
-		return nil
-	}
-	busy := make(map[string]int, len(ids))
-	for i, id := range ids {
-		if count := notice.Busy.Counts[i]; count != unknownCount {
-			busy[id] = int(count)
-		}
-	}
-	return busy
-}
-
 // tell sends notices regularly.
 func (relayer *Relayer) tell(ctx context.Context) {
 	for {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,7 +11,6 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/caller"
 	"github.com/cranberryward/cranberryward/meter"
-	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 )
@@ -34,28 +33,6 @@
 
 var errNothingKnown = eris.New("nothing is known yet")
 
-// Options say how a process takes part.
-type Options struct {
-	Instance string
-	Zone     string
-	Address  string
-	Entry    bool
-	Seeds    []string
-	// Refresh is the age of the belief at which the process reads the store itself; another process's read resets it.
-	Refresh time.Duration
-	// Neighbours returns addresses at which processes of the system may be reached, derived from a belief.
-	Neighbours func(belief *Belief) []string
-	// Changed is called with each belief whose content differs from the one before, in order.
-	Changed func(before, now *Belief)
-	// Running returns the requests of this entry at each backend server.
-	Running func() map[string]int
-	// HeardBusy is called with the load of backend servers, by id, that a group's controller tells of.
-	HeardBusy func(busy map[string]int)
-	// Heard is called with each notice of a peer.
-	Heard  func(notice Notice)
-	Logger log.Logger
-}
-
 // Relayer keeps a belief current.
 type Relayer struct {
 	options Options
--- a/standin/rankserver/group.go
+++ b/standin/rankserver/group.go
@@ -4,22 +4,8 @@
 	"fmt"
 	"slices"
 	"sync"
-	"time"
 )
 
-// Shape says how large a group is and what it can hold.
-type Shape struct {
-	Ranks   int
-	Sets    int
-	Experts int
-	Places  int
-	Spare   int
-	// Copy is how long a rank copies one expert.
-	Copy time.Duration
-	// Form is how long the group takes to open after a lost rank is back.
-	Form time.Duration
-}
-
 // Group is a group of ranks whose passes are begun by its owner, and the judge of its maps.
 type Group struct {
 	shape Shape
--- a/standin/rankserver/rank.go
+++ b/standin/rankserver/rank.go
@@ -9,24 +9,6 @@
 	"github.com/gorilla/mux"
 )
 
-// Fault is what happens to an order on its way.
-type Fault struct {
-	// LoseAnswer carries the order out and breaks its connection.
-	LoseAnswer bool
-	// Late breaks the connection and carries the order out when the channel is closed; nil is in time.
-	Late <-chan struct{}
-}
-
-// Order is an order as it arrives.
-type Order struct {
-	Operation    string
-	Version      uint64
-	Step         uint64 `json:"step"`
-	Epoch        uint64 `json:"epoch"`
-	Map          [][][]int
-	Precondition *uint64
-}
-
 // Rank is one rank, served over HTTP.
 type Rank struct {
 	group   *Group
@@ -94,8 +76,11 @@
 	rank.group.mutex.Lock()
 	defer rank.group.mutex.Unlock()
 	report := map[string]any{
-		"Stage":    "combined",
-		"group":    map[string]any{"Name": "g0", "epoch": rank.group.epoch, "rank": rank.index, "State": map[bool]string{true: "open", false: "broken"}[rank.group.open]},
+		"Stage": "combined",
+		"group": map[string]any{"Name": "g0", "epoch": rank.group.epoch, "rank": rank.index, "State": map[bool]string{
+			true:  "open",
+			false: "broken",
+		}[rank.group.open]},
 		"size":     rank.group.shape.Ranks,
 		"Sequence": rank.orders,
 		"step":     rank.group.step,
--- a/standin/scriptserver/server.go
+++ b/standin/scriptserver/server.go
@@ -10,16 +10,6 @@
 	"sync"
 )
 
-// Exchange is one request as it came and the connection on which it is answered.
-type Exchange struct {
-	Request *http.Request
-	Body    []byte
-	net.Conn
-	// ConnectionNumber counts the connections of the server from 0, and Number the requests on this one.
-	ConnectionNumber int
-	Number           int
-}
-
 // Reset closes the connection so that its peer sees a reset.
 func (exchange *Exchange) Reset() {
 	if tcp, ok := exchange.Conn.(*net.TCPConn); ok {
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -30,16 +30,6 @@
 	FaultLostAnswer
 )
 
-// Item is a key with its value, or with its removal.
-type Item struct {
-	Key       string
-	Value     []byte `json:",omitempty"`
-	Revision  uint64
-	CreateRev uint64 `json:",omitempty"`
-	Lease     uint64 `json:",omitempty"`
-	Deleted   bool   `json:",omitempty"`
-}
-
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
--- a/standin/storeserver/write.go
+++ b/standin/storeserver/write.go
@@ -57,8 +57,10 @@
 }
 
 func (server *Server) grant(writer http.ResponseWriter, request *http.Request) {
-	var grant struct{ TtlMs int64 }
-	if json.NewDecoder(request.Body).Decode(&grant) != nil || grant.TtlMs <= 0 {
+	var grant struct {
+		TTLMs int64 `json:"TtlMs"`
+	}
+	if json.NewDecoder(request.Body).Decode(&grant) != nil || grant.TTLMs <= 0 {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -66,12 +68,12 @@
 	defer server.mutex.Unlock()
 	server.nextID++
 	id := server.nextID
-	ttl := time.Duration(grant.TtlMs) * time.Millisecond
+	ttl := time.Duration(grant.TTLMs) * time.Millisecond
 	server.leases[id] = &lease{
 		ttl:   ttl,
 		timer: time.AfterFunc(ttl, func() { server.Expire(id) }),
 	}
-	answer(writer, map[string]uint64{"Lease": id, "TtlMs": uint64(grant.TtlMs)})
+	answer(writer, map[string]uint64{"Lease": id, "TtlMs": uint64(grant.TTLMs)})
 }
 
 // Expire ends a lease and removes its keys, as when its time has passed.
--- a/steward/change.go
+++ b/steward/change.go
@@ -49,7 +49,10 @@
 	prepared := time.Now()
 	step := steward.highestStep() + steward.lead
 	holder := rand.IntN(len(steward.ranks))
-	hold := cranberryward.RankOrder{Kind: cranberryward.RankHold, Step: step}
+	hold := cranberryward.RankOrder{
+		Kind: cranberryward.RankHold,
+		Step: step,
+	}
 	held, err := steward.order(ctx, holder, hold, func(report cranberryward.RankReport) bool { return report.Held == step })
 	if err != nil {
 		return eris.Wrap(err, "hold the group")
@@ -166,7 +169,10 @@
 
 // release lets a held group begin its pass.
 func (steward *Steward) release(ctx context.Context, holder int, step uint64) error {
-	order := cranberryward.RankOrder{Kind: cranberryward.RankGo, Step: step}
+	order := cranberryward.RankOrder{
+		Kind: cranberryward.RankGo,
+		Step: step,
+	}
 	released, err := steward.order(ctx, holder, order, func(report cranberryward.RankReport) bool { return report.Held == 0 })
 	if err == nil && !released {
 		err = eris.New("the rank stays held")
--- a/steward/demand.go
+++ b/steward/demand.go
@@ -32,7 +32,10 @@
 		demand.loads = make([]float64, len(counts))
 	}
 	before, known := demand.seen[rank]
-	demand.seen[rank] = countsSeen{born: born, counts: counts}
+	demand.seen[rank] = countsSeen{
+		born:   born,
+		counts: counts,
+	}
 	if !known || before.born != born || len(before.counts) != len(counts) {
 		return
 	}
--- /dev/null
+++ b/steward/observe.go
@@ -0,0 +1,157 @@
+package steward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/meter"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+)
+
+// observe asks all members at once and keeps the group if all of its ranks answered in one epoch.
+func (steward *Steward) observe(ctx context.Context, counts bool) error {
+	members := steward.group.Members()
+	observations := make([]Observation, len(members))
+	failures := make([]error, len(members))
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for i, member := range members {
+		wait.Go(func() {
+			observations[i], failures[i] = member.Hands.Observe(ctx, Question{
+				Term:   steward.term,
+				Counts: counts && steward.sampled(i, len(members)),
+			})
+		})
+	}
+	wait.Wait()
+	now := time.Now()
+	steward.demand.age(now)
+	ranks := make([]rank, 0, len(members))
+	var lost error
+	for i, member := range members {
+		if eris.Is(failures[i], ErrTermEnded) {
+			return failures[i]
+		}
+		if failures[i] != nil {
+			lost = eris.Wrapf(failures[i], "observe %s", member.ID)
+			continue
+		}
+		steward.demand.observe(observations[i].Report.Rank, observations[i].Report.Born, observations[i].Counts)
+		ranks = append(ranks, rank{
+			id:       member.ID,
+			hands:    member.Hands,
+			observed: observations[i],
+		})
+	}
+	steward.tell(ranks)
+	steward.ranks = steward.whole(ranks)
+	if len(steward.ranks) == 0 && lost != nil {
+		return lost
+	}
+	steward.learnPace(now)
+	return nil
+}
+
+func (steward *Steward) tell(ranks []rank) {
+	reports := make(map[string]cranberryward.RankReport, len(ranks))
+	for _, rank := range ranks {
+		reports[rank.id] = rank.observed.Report
+	}
+	steward.group.Observed(reports)
+}
+
+// sampled returns whether a member is one of those whose counts are read, which are spread evenly.
+func (steward *Steward) sampled(index, size int) bool {
+	return size <= sampledRanks || index*sampledRanks/size != (index+1)*sampledRanks/size
+}
+
+// whole returns the ranks in their order if they are one open group, and nothing otherwise.
+func (steward *Steward) whole(ranks []rank) []rank {
+	if len(ranks) == 0 {
+		return nil
+	}
+	epoch, size := uint64(0), 0
+	for _, rank := range ranks {
+		if rank.observed.Report.Epoch > epoch {
+			epoch, size = rank.observed.Report.Epoch, rank.observed.Report.Size
+		}
+	}
+	ordered := make([]rank, size)
+	found := 0
+	for _, rank := range ranks {
+		report := rank.observed.Report
+		if report.Epoch != epoch || !report.Open || report.Rank < 0 || report.Rank >= size || ordered[report.Rank].hands != nil {
+			continue
+		}
+		ordered[report.Rank] = rank
+		found++
+	}
+	if found != size {
+		return nil
+	}
+	if epoch != steward.epoch {
+		steward.epoch, steward.placement = epoch, nil
+	}
+	return ordered
+}
+
+// learnPace estimates how long a pass takes from how far the group has come.
+func (steward *Steward) learnPace(now time.Time) {
+	if len(steward.ranks) == 0 {
+		return
+	}
+	step := steward.highestStep()
+	if step > steward.lastStep && !steward.lastSeen.IsZero() {
+		sample := now.Sub(steward.lastSeen) / time.Duration(step-steward.lastStep)
+		if steward.passTime == 0 {
+			steward.passTime = sample
+		}
+		steward.passTime += (sample - steward.passTime) / 4
+	}
+	meter.PassTime(steward.passTime)
+	if step != steward.lastStep {
+		steward.lastStep, steward.lastSeen = step, now
+	}
+}
+
+func (steward *Steward) highestStep() uint64 {
+	highest := uint64(0)
+	for _, rank := range steward.ranks {
+		highest = max(highest, rank.observed.Report.Step)
+	}
+	return highest
+}
+
+// learnPlacement asks the ranks what they hold when their map is not one that this steward made.
+func (steward *Steward) learnPlacement(ctx context.Context, engine *cranberryward.EngineModel) error {
+	version := steward.ranks[0].observed.Report.Map
+	if steward.placement != nil && version == steward.version {
+		return nil
+	}
+	placement := make([][][]int, engine.Sets)
+	for set := range placement {
+		placement[set] = make([][]int, len(steward.ranks))
+	}
+	for i := range steward.ranks {
+		observation, err := steward.ranks[i].hands.Observe(ctx, Question{
+			Term:      steward.term,
+			Placement: true,
+		})
+		if err != nil {
+			return eris.Wrap(err, "ask for the present map")
+		}
+		if observation.PlacementVersion != version || len(observation.Placement) != engine.Sets {
+			return eris.Errorf("rank %d shows map %d with %d sets, expected map %d with %d", i, observation.PlacementVersion, len(observation.Placement), version, engine.Sets)
+		}
+		for set, experts := range observation.Placement {
+			placement[set][i] = experts
+		}
+	}
+	steward.placement, steward.version = placement, version
+	_ = level.Info(steward.logger).Log("event", "map_learned", "version", version, "epoch", steward.epoch)
+	return nil
+}
--- a/steward/settle.go
+++ b/steward/settle.go
@@ -46,7 +46,10 @@
 		if armed == 0 {
 			continue
 		}
-		order := cranberryward.RankOrder{Kind: cranberryward.RankDisarm, Version: armed}
+		order := cranberryward.RankOrder{
+			Kind:    cranberryward.RankDisarm,
+			Version: armed,
+		}
 		disarmed, err := steward.order(ctx, index, order, func(report cranberryward.RankReport) bool { return report.Armed == 0 })
 		if err != nil {
 			return err
