--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -57,7 +57,8 @@
 	}
 	busy := make(map[string]int, len(reports))
 	for id, report := range reports {
-		busy[id] = report.Running + report.Waiting
+		// A rank that takes longer for the same work counts as having more of it, so that entries spare it.
+		busy[id] = int(float64(report.Running+report.Waiting+1)*max(report.Pace, 1)) - 1
 	}
 	agent.relayer.TellBusy(agent.settings.Service, busy)
 }
--- a/planner/increment.go
+++ b/planner/increment.go
@@ -47,7 +47,7 @@
 	scale     float64
 }
 
-// incrementStep gives a rank an expert, in a free place where out is negative and in place of another expert otherwise.
+// incrementStep gives a rank an expert, in a free place where out is negative and in place of another expert otherwise; where in is negative the rank only gives one up.
 type incrementStep struct {
 	rank, in, out int
 	gain          float64
@@ -139,28 +139,64 @@
 			}
 		}
 	}
+	for _, rank := range incrementSearch.busiest() {
+		for _, out := range incrementSearch.placement[rank] {
+			if incrementSearch.counts[out] > 1 {
+				incrementSearch.considerDrop(&best, &found, rank, out)
+			}
+		}
+	}
 	return best, found
 }
 
+// considerDrop weighs leaving an expert to the other ranks that hold it, which copies nothing.
+func (incrementSearch *incrementSearch) considerDrop(best *incrementStep, found *bool, rank, out int) {
+	leaving := incrementSearch.loads[out] / float64(incrementSearch.counts[out])
+	spread := incrementSearch.loads[out]/float64(incrementSearch.counts[out]-1) - leaving
+	gain := incrementSearch.crowd(rank, incrementSearch.totals[rank]) - incrementSearch.crowd(rank, incrementSearch.totals[rank]-leaving)
+	for _, other := range incrementSearch.holders[out] {
+		if other != rank {
+			total := incrementSearch.totals[other]
+			gain += incrementSearch.crowd(other, total) - incrementSearch.crowd(other, total+spread)
+		}
+	}
+	if gain > best.gain {
+		*found = true
+		*best = incrementStep{
+			rank: rank,
+			in:   -1,
+			out:  out,
+			gain: gain,
+		}
+	}
+}
+
 // hot returns the experts of the most loaded ranks.
 func (incrementSearch *incrementSearch) hot() []int {
-	taken := map[int]bool{}
 	var experts []int
+	for _, rank := range incrementSearch.busiest() {
+		for _, expert := range incrementSearch.placement[rank] {
+			if incrementSearch.loads[expert] > 0 && !holds(experts, expert) {
+				experts = append(experts, expert)
+			}
+		}
+	}
+	return experts
+}
+
+// busiest returns the most loaded ranks.
+func (incrementSearch *incrementSearch) busiest() []int {
+	var ranks []int
 	for range min(busiestRanks, len(incrementSearch.totals)) {
 		busiest := -1
 		for rank, total := range incrementSearch.totals {
-			if !taken[rank] && (busiest < 0 || total*incrementSearch.pace(rank) > incrementSearch.totals[busiest]*incrementSearch.pace(busiest)) {
+			if !holds(ranks, rank) && (busiest < 0 || total*incrementSearch.pace(rank) > incrementSearch.totals[busiest]*incrementSearch.pace(busiest)) {
 				busiest = rank
 			}
 		}
-		taken[busiest] = true
-		for _, expert := range incrementSearch.placement[busiest] {
-			if incrementSearch.loads[expert] > 0 && !holds(experts, expert) {
-				experts = append(experts, expert)
-			}
-		}
+		ranks = append(ranks, busiest)
 	}
-	return experts
+	return ranks
 }
 
 // consider weighs one step by the crowding of the ranks that it touches.
@@ -209,31 +245,36 @@
 
 func (incrementSearch *incrementSearch) apply(step incrementStep) {
 	if step.out >= 0 {
-		for i, expert := range incrementSearch.placement[step.rank] {
-			if expert == step.out {
-				incrementSearch.placement[step.rank][i] = step.in
-			}
-		}
-		incrementSearch.held[step.rank][step.out] = false
-		incrementSearch.holders[step.out] = slices.DeleteFunc(incrementSearch.holders[step.out], func(rank int) bool { return rank == step.rank })
-		incrementSearch.counts[step.out]--
-		if !incrementSearch.original[step.rank][step.out] {
-			incrementSearch.newcomers[step.rank]--
-			incrementSearch.copies--
-		}
-	} else {
-		incrementSearch.placement[step.rank] = append(incrementSearch.placement[step.rank], step.in)
-	}
-	incrementSearch.held[step.rank][step.in] = true
-	incrementSearch.holders[step.in] = append(incrementSearch.holders[step.in], step.rank)
-	incrementSearch.counts[step.in]++
-	if !incrementSearch.original[step.rank][step.in] {
-		incrementSearch.newcomers[step.rank]++
-		incrementSearch.copies++
+		incrementSearch.remove(step.rank, step.out)
+	}
+	if step.in >= 0 {
+		incrementSearch.add(step.rank, step.in)
 	}
 	incrementSearch.sumUp()
 }
 
+func (incrementSearch *incrementSearch) remove(rank, expert int) {
+	incrementSearch.placement[rank] = slices.DeleteFunc(incrementSearch.placement[rank], func(held int) bool { return held == expert })
+	incrementSearch.held[rank][expert] = false
+	incrementSearch.holders[expert] = slices.DeleteFunc(incrementSearch.holders[expert], func(holder int) bool { return holder == rank })
+	incrementSearch.counts[expert]--
+	if !incrementSearch.original[rank][expert] {
+		incrementSearch.newcomers[rank]--
+		incrementSearch.copies--
+	}
+}
+
+func (incrementSearch *incrementSearch) add(rank, expert int) {
+	incrementSearch.placement[rank] = append(incrementSearch.placement[rank], expert)
+	incrementSearch.held[rank][expert] = true
+	incrementSearch.holders[expert] = append(incrementSearch.holders[expert], rank)
+	incrementSearch.counts[expert]++
+	if !incrementSearch.original[rank][expert] {
+		incrementSearch.newcomers[rank]++
+		incrementSearch.copies++
+	}
+}
+
 func (incrementSearch *incrementSearch) sumUp() {
 	for rank, experts := range incrementSearch.placement {
 		incrementSearch.totals[rank] = 0
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -132,7 +132,7 @@
 		return nil
 	}
 	next, copies, saved := steward.plan(engine)
-	if copies == 0 || saved < worthwhile {
+	if saved < worthwhile {
 		return nil
 	}
 	return steward.change(ctx, next, copies, engine)
