--- a/cranberryward/main.go
+++ b/cranberryward/main.go
@@ -12,6 +12,7 @@
 	"github.com/cranberryward/cranberryward/cranberryward/correction/withdraw"
 	"github.com/cranberryward/cranberryward/cranberryward/explain"
 	"github.com/cranberryward/cranberryward/cranberryward/local"
+	logexplain "github.com/cranberryward/cranberryward/cranberryward/log/explain"
 	"github.com/cranberryward/cranberryward/cranberryward/sheet/check"
 	"github.com/cranberryward/cranberryward/cranberryward/sheet/diff"
 	"github.com/cranberryward/cranberryward/cranberryward/sheet/history"
@@ -36,6 +37,7 @@
 		commander.NewNoun("correction", "List and withdraw corrections", list.New(factory), withdraw.New(factory)),
 		status.New(factory),
 		explain.New(factory),
+		commander.NewNoun("log", "Read log files of the platform's instances", logexplain.New(factory)),
 		local.New(factory),
 		version.New(factory),
 	)
