--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -18,8 +18,8 @@
 	outcomeWeight = 0.15
 	// failurePenalty weighs the failure share against requests in flight.
 	failurePenalty = 8.0
-	// otherZonePenalty weighs bytes between availability zones against requests in flight.
-	otherZonePenalty = 0.45
+	// otherZonePenalty weighs bytes between availability zones against requests in flight: a rank of another zone is taken when it has two fewer.
+	otherZonePenalty = 1.5
 	// toldAge is how long the load that a controller tells of is believed; it tells many times in it.
 	toldAge = 400 * time.Millisecond
 	// reportedLoadAge is how long a reported load is believed.
