Read no reply of a call that was given up

Found by the race detector in TestNoPassBeginsWithTwoMaps beside load: the answer of an order whose call had timed out was read while the connection's reader could still write it. The value was not used in that case; ruled out: a wrong answer to the steward.

--- a/gateway/agent/hands.go
+++ b/gateway/agent/hands.go
@@ -84,8 +84,11 @@
 
 func (hands *hands) give(ctx context.Context, request OrderRequest) (cranberryward.OrderAnswer, error) {
 	var reply OrderReply
-	err := hands.calls.Call(ctx, hands.agent, "Rank.Order", request, &reply)
-	return reply.Answer, err
+	if err := hands.calls.Call(ctx, hands.agent, "Rank.Order", request, &reply); err != nil {
+		// A reply that comes after its call was given up may still be written.
+		return cranberryward.OrderUnknown, err
+	}
+	return reply.Answer, nil
 }
 
 func (hands *hands) remember(order cranberryward.RankOrder) {
