--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -21,7 +21,9 @@
 	// otherZonePenalty weighs bytes between availability zones against requests in flight: a rank of another zone is taken when it has two fewer.
 	otherZonePenalty = 1.5
 	// toldAge is how long the load that a controller tells of is believed; it tells many times in it.
-	toldAge = 400 * time.Millisecond
+	toldAge = 700 * time.Millisecond
+	// unheardAge is after which time without a word on one backend server it is a last resort; a controller waits 0.4 s for a silent one.
+	unheardAge = 350 * time.Millisecond
 	// reportedLoadAge is how long a reported load is believed.
 	reportedLoadAge = 2 * time.Second
 )
@@ -51,7 +53,9 @@
 	// durations are how long requests of a service last.
 	durations map[string]time.Duration
 	states    map[string]*serverState
-	byName    map[string][]*serverState
+	// heardAt is when a controller last told of loads.
+	heardAt time.Time
+	byName  map[string][]*serverState
 }
 
 // update takes over the registered backend servers.
@@ -104,6 +108,7 @@
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
 	now := time.Now()
+	servers.heardAt = now
 	for id, count := range busy {
 		if state := servers.states[id]; state != nil {
 			state.others, state.toldAt = max(count-state.running, 0), now
@@ -133,6 +138,9 @@
 	best := 0
 	for _, state := range servers.byName[service] {
 		standing := state.standing(now, tried)
+		if standing == 0 && servers.unheard(state, now) {
+			standing = 1
+		}
 		if standing < 0 || len(candidates) > 0 && standing > best {
 			continue
 		}
@@ -153,6 +161,11 @@
 	return chosen
 }
 
+// unheard returns whether a controller goes on telling of loads but no longer of this backend server, which may stand still.
+func (servers *servers) unheard(state *serverState, now time.Time) bool {
+	return !state.toldAt.IsZero() && now.Sub(servers.heardAt) < toldAge && servers.heardAt.Sub(state.toldAt) > unheardAge
+}
+
 // standing returns 0 for a backend server in order, 1 to 3 for last resorts and a negative number for one not to use.
 func (serverState *serverState) standing(now time.Time, tried map[string]bool) int {
 	standing := 0
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -462,3 +462,34 @@
 		})
 	}
 }
+
+func TestRankThatIsNoLongerHeardIsSpared(t *testing.T) {
+	stage := newStage(t, answers(200, "first"), answers(200, "second"))
+	busy := map[string]int{
+		"i-0": 0,
+		"i-1": 3,
+	}
+	stage.forwarder.HearBusy(busy)
+	delete(busy, "i-0")
+	deadline := time.After(patience)
+	ticker := time.NewTicker(hearInterval)
+	defer ticker.Stop()
+	for {
+		stage.forwarder.HearBusy(busy)
+		if _, body := stage.send(stage.request(http.MethodPost, "/book/", "question")); body == "second" {
+			return
+		}
+		select {
+		case <-deadline:
+			t.Fatal("requests still go to a rank of which nothing is heard")
+		case <-ticker.C:
+		}
+	}
+}
+
+const (
+	// patience bounds the wait for what comes about within a second.
+	patience = 20 * time.Second
+	// hearInterval is how often a controller tells of loads.
+	hearInterval = 75 * time.Millisecond
+)
