--- a/cranberryward/log/explain/explain.go
+++ b/cranberryward/log/explain/explain.go
@@ -25,7 +25,7 @@
 		streams: factory.Streams(),
 	}
 	return commander.NewCommand("explain", "Tell what happened to a request from the log files of several instances",
-		"cranberryward log explain 9c41d07be2a35f68 entry-1.log,entry-2.log,agents.log",
+		"cranberryward log explain 92d413e5d122e07b examples/entries.log",
 		func(subcommand *flaggy.Subcommand) {
 			subcommand.AddPositionalValue(&options.request, "REQUEST", 1, true, "The id of the request")
 			subcommand.AddPositionalValue(&options.files, "FILES", 2, true, "Log files, separated by commas, - for standard input")
