--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -53,8 +53,7 @@
 	forwarder := &Forwarder{
 		options: options,
 		servers: servers{
-			zone:  options.Zone,
-			drain: options.Drain,
+			zone: options.Zone,
 		},
 		budget: budget{
 			ratio:   options.RetryRatio,
--- a/forwarder/message_options.go
+++ b/forwarder/message_options.go
@@ -9,7 +9,6 @@
 // Options are what a forwarder is built from.
 type Options struct {
 	Zone        string
-	Drain       time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -14,7 +14,7 @@
 	// failurePause keeps requests away from a backend server after a failed connection; repeated failures double it.
 	failurePause        = 200 * time.Millisecond
 	longestFailurePause = 2 * time.Second
-	// outcomeWeight is the weight of a new outcome in a backend server's failure share and delay.
+	// outcomeWeight is the weight of a new outcome in a backend server's failure share.
 	outcomeWeight = 0.15
 	// failurePenalty weighs the failure share against requests in flight.
 	failurePenalty = 8.0
@@ -36,7 +36,6 @@
 	failures int
 	pausedTo time.Time
 	failing  float64
-	delay    float64
 	load     cranberryward.ServerLoad
 	loadAt   time.Time
 	// others counts the requests of other entries, and toldAt is when a controller told of them.
@@ -46,8 +45,7 @@
 
 // servers are the backend servers of a process's belief with what its own requests saw of them.
 type servers struct {
-	zone  string
-	drain time.Duration
+	zone string
 
 	mutex sync.Mutex
 	// durations are how long requests of a service last.
@@ -195,9 +193,6 @@
 	if serverState.server.Zone != zone {
 		cost += otherZonePenalty
 	}
-	if serverState.delay > 0 {
-		cost += serverState.delay * (busy + 1)
-	}
 	return cost
 }
 
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -67,7 +67,6 @@
 	}
 	entry.forwarder = forwarder.New(forwarder.Options{
 		Zone:        settings.Zone,
-		Drain:       settings.Drain(),
 		RetryRatio:  settings.RetryRatio,
 		RetrySlack:  settings.RetrySlack,
 		RetryWindow: settings.RetryWindow(),
@@ -209,7 +208,6 @@
 	begun := time.Now()
 	deadline := begun.Add(entry.settings.Grace() - graceReserve)
 	entry.forwarder.Stop(deadline)
-	entry.relayer.Leave()
 	_ = level.Info(entry.logger).Log("event", "stopping", "in_flight", entry.forwarder.InFlight())
 	quietSince := begun
 	idleClosed := false
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -54,7 +54,6 @@
 		t: t,
 		forwarder: forwarder.New(forwarder.Options{
 			Zone:        "zone-a",
-			Drain:       2 * time.Second,
 			RetryRatio:  10,
 			RetrySlack:  100,
 			RetryWindow: 10 * time.Second,
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -80,21 +80,11 @@
 	return peers
 }
 
-// Drain returns how long after the store's word a leaving backend server may still receive requests.
-func (settings Settings) Drain() time.Duration {
-	return time.Duration(settings.DrainMS) * time.Millisecond
-}
-
 // Grace returns how long a process may run on after it was asked to stop.
 func (settings Settings) Grace() time.Duration {
 	return time.Duration(settings.GraceSeconds * float64(time.Second))
 }
 
-// ConfigurationBound returns how soon an accepted configuration is to be in force.
-func (settings Settings) ConfigurationBound() time.Duration {
-	return time.Duration(settings.ConfigurationMS) * time.Millisecond
-}
-
 // RetryWindow returns the span over which the retry budget is counted.
 func (settings Settings) RetryWindow() time.Duration {
 	return time.Duration(settings.RetryWindowSeconds * float64(time.Second))
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -29,8 +29,6 @@
 	Group *GroupState `json:"group,omitempty"`
 	// Busy is the load of the backend servers of a service.
 	Busy *Busy `json:"busy,omitempty"`
-	// Leaving is whether the process is about to end.
-	Leaving bool `json:"leaving,omitempty"`
 }
 
 // GroupState is what one rank says of the group that serves a service.
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -203,7 +203,6 @@
 		Entry:    relayer.options.Entry,
 		Zone:     relayer.options.Zone,
 		Running:  running,
-		Leaving:  relayer.leaving,
 		Group:    relayer.group,
 	}
 	rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
@@ -236,14 +235,6 @@
 	return slices.Sorted(maps.Keys(candidates))
 }
 
-// Leave tells peers that this process is about to end.
-func (relayer *Relayer) Leave() {
-	relayer.mutex.Lock()
-	relayer.leaving = true
-	relayer.mutex.Unlock()
-	relayer.announce(false)
-}
-
 // Present returns the last notices of the peers that are heard from.
 func (relayer *Relayer) Present() []Notice {
 	relayer.mutex.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -46,7 +46,6 @@
 	peers    map[string]*peer
 	wake     chan struct{}
 	fetching map[string]bool
-	leaving  bool
 	group    *GroupState
 
 	reads, failures int
