End a map change when a rank restarts while it prepares

Ruled out: the hold (nothing was held), the lease (kept throughout).

Change: the controller remembers the rank's incarnation and ends the change when it is another one. The new test restarts a rank whose weights cannot be loaded yet: failed before (no change in 12 s), passes now.

--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,82 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/cranberryward/cranberryward/standin/scriptserver"
+)
+
+// ask sends a request on a kept connection, if there is one, and returns the body of its answer.
+func ask(t *testing.T, connector *Connector, address, id string) string {
+	t.Helper()
+	answer, err := connector.Send(context.Background(), Request{
+		Address:  address,
+		Method:   http.MethodGet,
+		Head:     []byte("GET / HTTP/1.1\r\nHost: front.example\r\nX-Attempt-Id: " + id + "\r\n\r\n"),
+		Expected: func(*http.Response) bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := answer.ReadAll(1 << 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer.Finish()
+	return string(body)
+}
+
+func TestKeptConnectionIsUsedAgain(t *testing.T) {
+	connections := make(chan int, 2)
+	server, err := scriptserver.New(func(exchange *scriptserver.Exchange) bool {
+		connections <- exchange.ConnectionNumber
+		exchange.Answer(http.StatusOK, "answer", "Keep-Alive: timeout=60")
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	var connector Connector
+	ask(t, &connector, server.Address(), "one")
+	ask(t, &connector, server.Address(), "two")
+	if first, second := <-connections, <-connections; first != second {
+		t.Errorf("connections %d and %d, expected one", first, second)
+	}
+}
+
+// TestConnectionWithStrayBytesIsNotUsedAgain lets bytes of no request arrive on a connection that is already kept.
+func TestConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	kept, strayed := make(chan struct{}), make(chan struct{})
+	server, err := scriptserver.New(func(exchange *scriptserver.Exchange) bool {
+		exchange.Answer(http.StatusOK, "answer", "Keep-Alive: timeout=60")
+		if exchange.ConnectionNumber == 0 && exchange.Number == 0 {
+			<-kept
+			// Any bytes do; a whole answer is the most misleading.
+			if _, err := io.Copy(exchange, bytes.NewBufferString(scriptserver.Head("other", http.StatusOK, "Content-Length: 5")+"stray")); err != nil {
+				t.Error(err)
+			}
+			close(strayed)
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	var connector Connector
+	ask(t, &connector, server.Address(), "one")
+	close(kept)
+	<-strayed
+	for connector.idle[server.Address()][0].quiet() {
+		// The bytes are on their way through the loopback device.
+		continue
+	}
+	if body := ask(t, &connector, server.Address(), "two"); body != "answer" {
+		t.Errorf("body %q, which belongs to no request", body)
+	}
+}
--- a/controller/change.go
+++ b/controller/change.go
@@ -96,8 +96,8 @@
 	order.Fencing = switcher.FencingOf(fencing)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	var state cranberryward.RankState
-	if err := group.client.Call(ctx, rank.PeerAddress, "Agent.State", messenger.StateRequest{}, &state); err != nil {
+	state, err := group.state(ctx, rank)
+	if err != nil {
 		return err
 	}
 	if state.Fencing < switcher.FencingOf(fencing+1) {
@@ -110,6 +110,12 @@
 	}, &reply)
 }
 
+func (group *Group) state(ctx context.Context, rank cranberryward.Instance) (cranberryward.RankState, error) {
+	var state cranberryward.RankState
+	err := group.client.Call(ctx, rank.PeerAddress, "Agent.State", messenger.StateRequest{}, &state)
+	return state, err
+}
+
 func (group *Group) prepare(ctx context.Context, ranks []cranberryward.Instance, expertMap cranberryward.ExpertMap) error {
 	ctx, cancel := context.WithTimeout(ctx, group.settings.PrepareLimit)
 	defer cancel()
@@ -120,8 +126,13 @@
 	return preparing.Wait()
 }
 
+// prepareRank waits until a rank has loaded a map; one that restarts has forgotten the order and would never end.
 func (group *Group) prepareRank(ctx context.Context, rank cranberryward.Instance, expertMap cranberryward.ExpertMap) error {
-	err := group.order(ctx, rank, cranberryward.Order{
+	before, err := group.state(ctx, rank)
+	if err != nil {
+		return err
+	}
+	err = group.order(ctx, rank, cranberryward.Order{
 		Kind:    cranberryward.OrderPrepare,
 		Version: expertMap.Version,
 		Map:     expertMap,
@@ -133,11 +144,13 @@
 		if err := group.mayGoOn(); err != nil {
 			return err
 		}
-		var state cranberryward.RankState
-		if err := group.client.Call(ctx, rank.PeerAddress, "Agent.State", messenger.StateRequest{}, &state); err != nil {
+		state, err := group.state(ctx, rank)
+		switch {
+		case err != nil:
 			return err
-		}
-		if state.HasPrepared(expertMap.Version) {
+		case state.Incarnation != before.Incarnation:
+			return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonWrongIncarnation, "rank "+rank.ID+" restarted while it loaded its weights")
+		case state.HasPrepared(expertMap.Version):
 			return nil
 		}
 		select {
--- a/cranberryward/prover/quiet_test.go
+++ b/cranberryward/prover/quiet_test.go
@@ -249,6 +249,28 @@
 	fleet.t = t
 }
 
+// TestChangeEndsWhenARankRestartsWhileItPrepares restarts a rank that has taken its order and cannot load its weights yet.
+func TestChangeEndsWhenARankRestartsWhileItPrepares(t *testing.T) {
+	fleet := newFleet(t, fleetOptions{
+		zones:          1,
+		entriesPerZone: 1,
+		ranksPerZone:   3,
+		entryFlags:     quickChanges,
+		agentFlags:     []string{"--hold-bound", "500ms", "--clock-error", "100ms"},
+	})
+	before := fleet.awaitVersion(0, 1)
+	restarted := fleet.engines[1]
+	fleet.setFaults(fleet.weights, weightserver.Faults{Outage: true})
+	marks := strings.Count(restarted.log(), "kind=prepare")
+	fleet.drift(0, 0.4)
+	await(t, "the rank takes its order", func() bool { return strings.Count(restarted.log(), "kind=prepare") > marks })
+	fleet.setFaults(restarted.backend, map[string]bool{"dead": true})
+	fleet.setFaults(restarted.backend, map[string]bool{})
+	fleet.setFaults(fleet.weights, weightserver.Faults{})
+	fleet.awaitVersion(0, before)
+	fleet.awaitProgress(0)
+}
+
 // awaitProgress waits until a group enters further steps.
 func (fleet *fleet) awaitProgress(zone int) {
 	fleet.t.Helper()
--- /dev/null
+++ b/gateway/agent/rank_test.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/standin/rankserver"
+	"github.com/cranberryward/cranberryward/steward"
+)
+
+func TestEarlierTermIsRefused(t *testing.T) {
+	group := rankserver.NewGroup(shape)
+	server := httptest.NewServer(group.Rank(0))
+	t.Cleanup(server.Close)
+	service := newRankService(strings.TrimPrefix(server.URL, "http://"), func(cranberryward.RankReport) {})
+	var observed ObserveReply
+	if err := service.Observe(ObserveRequest{Question: steward.Question{Term: 7}}, &observed); err != nil {
+		t.Fatal(err)
+	}
+	hold := OrderRequest{
+		Term: 6,
+		Life: observed.Life,
+		Order: cranberryward.RankOrder{
+			Kind:  cranberryward.RankHold,
+			Epoch: observed.Observation.Report.Epoch,
+			Step:  100,
+		},
+	}
+	var reply OrderReply
+	if err := service.Order(hold, &reply); err == nil {
+		t.Error("an order of an earlier term was given")
+	}
+	if err := service.Observe(ObserveRequest{Question: steward.Question{Term: 7}}, &observed); err != nil || observed.Observation.Report.Held != 0 {
+		t.Errorf("the rank is held for %d by an earlier term, error %v", observed.Observation.Report.Held, err)
+	}
+	hold.Term = 7
+	if err := service.Order(hold, &reply); err != nil || reply.Answer != cranberryward.OrderAccepted {
+		t.Errorf("an order of the present term: %v, %v", reply.Answer, err)
+	}
+}
--- a/gateway/agent/steward_test.go
+++ b/gateway/agent/steward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -45,8 +46,12 @@
 	hot     atomic.Int64
 	// drift lets the hot expert change every so many passes, and zero leaves it.
 	drift atomic.Int64
-	stop  chan struct{}
-	wait  sync.WaitGroup
+	// due counts the passes that were due, begun or not.
+	due atomic.Int64
+	// lateHolds counts the holds that a test delays.
+	lateHolds atomic.Int64
+	stop      chan struct{}
+	wait      sync.WaitGroup
 }
 
 func newBench(t *testing.T) *bench {
@@ -97,6 +102,7 @@
 			return
 		case <-ticker.C:
 		}
+		bench.due.Add(1)
 		if !bench.group.Pass() {
 			continue
 		}
@@ -254,6 +260,64 @@
 	}
 }
 
+// TestPassWaitsForARankThatIsNotArmed loses the orders to arm one rank until the pass they name is due.
+func TestPassWaitsForARankThatIsNotArmed(t *testing.T) {
+	bench := newBench(t)
+	bench.drift.Store(driftPasses)
+	const longestAhead = 16 // more passes than a change is ever armed ahead
+	lost := int64(0)
+	bench.group.Rank(2).SetFault(func(order rankserver.Order) rankserver.Fault {
+		if order.Operation != "arm" {
+			return rankserver.Fault{}
+		}
+		if lost == 0 {
+			lost = bench.due.Load()
+		}
+		return rankserver.Fault{Lose: bench.due.Load() < lost+longestAhead}
+	})
+	end := bench.govern(1)
+	defer end()
+	bench.awaitSwitches(2)
+	bench.requireOneMap()
+}
+
+// TestLateHoldDoesNotHoldAGroupThatWasLetGo lets a hold whose answer was lost arrive right after the same hold, given again, was lifted.
+func TestLateHoldDoesNotHoldAGroupThatWasLetGo(t *testing.T) {
+	bench := newBench(t)
+	bench.drift.Store(driftPasses)
+	outcome := make(chan int, 1)
+	for index := range bench.group.Size() {
+		var late chan struct{}
+		bench.group.Rank(index).SetFault(func(order rankserver.Order) rankserver.Fault {
+			switch {
+			case order.Operation == "hold" && late == nil && bench.lateHolds.Add(1) == 1:
+				late = make(chan struct{})
+				return rankserver.Fault{
+					Late:    late,
+					Outcome: outcome,
+				}
+			case order.Operation == "go" && late != nil:
+				// The late order waits for the lock under which this one is carried out.
+				close(late)
+				late = nil
+			}
+			return rankserver.Fault{}
+		})
+	}
+	end := bench.govern(1)
+	defer end()
+	select {
+	case status := <-outcome:
+		if status != http.StatusConflict {
+			t.Errorf("the late hold was answered %d, so that the group stands still without an owner", status)
+		}
+	case <-time.After(patience):
+		t.Fatal("the group was never let go")
+	}
+	bench.awaitSwitches(1)
+	bench.requireOneMap()
+}
+
 // faults lets a function choose the fate of each order; it is called by one rank at a time.
 func (bench *bench) faults(_ *rand.Rand, choose func() rankserver.Fault) {
 	for index := range bench.group.Size() {
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -398,9 +398,13 @@
 		ended <- err
 		return false
 	})
+	// The request itself has a minute, so that only the caller's leaving can end it while the test waits.
+	stage.view.Deployment.Routes[2].Timeout = time.Minute
+	stage.view.Deployment.Revision++
+	stage.forwarder.Configure(stage.view)
 	ctx, leave := context.WithCancel(context.Background())
 	go func() {
-		response, err := http.DefaultTransport.RoundTrip(stage.request(http.MethodPost, "/stream/", "question").WithContext(ctx))
+		response, err := http.DefaultTransport.RoundTrip(stage.request(http.MethodPost, "/stream/", "question", "X-Deadline-Remaining-Ms: 60000").WithContext(ctx))
 		if err == nil {
 			response.Body.Close()
 		}
--- a/standin/rankserver/message.go
+++ b/standin/rankserver/message.go
@@ -17,10 +17,14 @@
 
 // Fault is what happens to an order on its way.
 type Fault struct {
+	// Lose breaks the connection and never carries the order out.
+	Lose bool
 	// LoseAnswer carries the order out and breaks its connection.
 	LoseAnswer bool
 	// Late breaks the connection and carries the order out when the channel is closed; nil is in time.
 	Late <-chan struct{}
+	// Outcome takes the status of a late order, if it is set; it must have room for it.
+	Outcome chan<- int
 }
 
 // Order is an order as it arrives.
--- a/standin/rankserver/rank.go
+++ b/standin/rankserver/rank.go
@@ -130,10 +130,17 @@
 			<-fault.Late
 			rank.group.mutex.Lock()
 			defer rank.group.mutex.Unlock()
-			rank.carryOut(order)
+			status := rank.carryOut(order)
+			if fault.Outcome != nil {
+				fault.Outcome <- status
+			}
 		}()
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Lose {
+		rank.group.mutex.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	status := rank.carryOut(order)
 	rank.group.mutex.Unlock()
 	if fault.LoseAnswer {
