Fetch a changed belief once, from whoever has it, and without the configuration that the asker has

Ruled out: requests and events (about 60 MB), notices (about 170 MB by their size).

Change: one fetch at a time; the configuration is left out where the asker has it; whoever takes over a changed belief tells six peers, which do the same; a read without news is told in a few bytes. Admission also works while a few backend servers are unheard.

--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -38,15 +38,18 @@
 	return candidates[0].state
 }
 
-// arrivalsUnseen estimates how many requests of all entries the told loads do not hold yet, by Little's law.
+// arrivalsUnseen estimates how many requests of all entries the told loads do not hold yet, by Little's law; it is zero where most loads are not told.
 func (servers *servers) arrivalsUnseen(candidates []candidate, service string) float64 {
 	now := time.Now()
-	total := 0
+	total, told := 0, 0
 	for _, candidate := range candidates {
-		if now.Sub(candidate.state.toldAt) > toldAge {
-			return 0
-		}
 		total += candidate.state.running + candidate.state.others
+		if now.Sub(candidate.state.toldAt) <= toldAge {
+			told++
+		}
+	}
+	if 2*told <= len(candidates) {
+		return 0
 	}
 	duration := servers.durations[service]
 	if duration == 0 {
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -23,6 +23,8 @@
 	AgeMS    int64    `json:"age_ms"`
 	Content  uint64   `json:"content"`
 	Peers    []string `json:"peers,omitempty"`
+	// AgeOnly means that the notice tells of the belief's age and leaves the rest as it was.
+	AgeOnly bool `json:"age_only,omitempty"`
 	// Running counts the requests of this entry at each backend server, by id.
 	Running map[string]int `json:"running,omitempty"`
 	// Group is the state of the group of the rank beside this agent.
@@ -46,10 +48,15 @@
 }
 
 // FetchRequest asks a peer for its belief.
-type FetchRequest struct{}
+type FetchRequest struct {
+	// Deployment is the revision of the configuration that the asker has, and zero without one.
+	Deployment uint64
+}
 
 // FetchReply is a peer's belief with its age.
 type FetchReply struct {
 	Belief *Belief
 	Age    time.Duration
+	// SameDeployment means that the belief holds the configuration that the asker has, which is left out.
+	SameDeployment bool
 }
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -27,6 +27,10 @@
 	maxPeersTold = 8
 	// tellFanout bounds the peers that a regular notice goes to; different ones each time.
 	tellFanout = 12
+	// spreadFanout is how many peers a process tells of a changed belief, each of which does the same: three rounds reach two hundred processes.
+	spreadFanout = 6
+	// fetchPatience is how long the fetch of a belief is waited for before another peer with as new a one is asked.
+	fetchPatience = 200 * time.Millisecond
 	// helloInterval is how often a process that knows nothing asks for a notice.
 	helloInterval = 100 * time.Millisecond
 )
@@ -79,7 +83,10 @@
 		relayer.peers[notice.From] = known
 	}
 	asks := notice.At == 0 && relayer.belief != nil
-	known.notice, known.heard = notice, now
+	known.heard = now
+	if !notice.AgeOnly {
+		known.notice = notice
+	}
 	for _, address := range notice.Peers {
 		if relayer.peers[address] == nil && address != relayer.options.Address {
 			relayer.peers[address] = &peer{}
@@ -99,9 +106,9 @@
 			relayer.readAt = readAt
 		}
 	}
-	fetch := newer && !same && notice.At > 0 && !relayer.fetching[notice.From]
+	fetch := newer && !same && (notice.At > relayer.fetchingAt || now.Sub(relayer.fetchingSince) > fetchPatience)
 	if fetch {
-		relayer.fetching[notice.From] = true
+		relayer.fetchingAt, relayer.fetchingSince = notice.At, now
 	}
 	relayer.mutex.Unlock()
 	if fetch {
@@ -122,11 +129,16 @@
 func (relayer *Relayer) fetch(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
+	var request FetchRequest
+	present, _ := relayer.Belief()
+	if present != nil && present.Deployment != nil {
+		request.Deployment = present.Deployment.Revision
+	}
 	var reply FetchReply
-	err := relayer.calls.Call(ctx, address, "Belief.Fetch", FetchRequest{}, &reply)
-	relayer.mutex.Lock()
-	delete(relayer.fetching, address)
-	relayer.mutex.Unlock()
+	err := relayer.calls.Call(ctx, address, "Belief.Fetch", request, &reply)
+	if err == nil && reply.SameDeployment {
+		reply.Belief.Deployment = present.Deployment
+	}
 	if err != nil {
 		_ = level.Info(relayer.options.Logger).Log("event", "belief_fetch_failed", "peer", address, "error", err)
 		return
@@ -166,6 +178,24 @@
 	relayer.send(notice, present)
 }
 
+// spread tells a few peers of a changed belief at once, which fetch it and do the same.
+func (relayer *Relayer) spread() {
+	notice, present, absent := relayer.compose()
+	notice.Running, notice.Group, notice.AgeOnly = nil, nil, true
+	if len(present) == 0 {
+		present = absent
+	}
+	relayer.send(notice, present[:min(len(present), spreadFanout)])
+}
+
+// tellAge tells all peers in a few bytes that the belief was read anew, so that they need not read it themselves.
+func (relayer *Relayer) tellAge() {
+	notice, present, _ := relayer.compose()
+	notice.Running, notice.Group, notice.Peers = nil, nil, nil
+	notice.AgeOnly = true
+	relayer.send(notice, present)
+}
+
 func (relayer *Relayer) send(notice Notice, addresses []string) {
 	text, err := json.Marshal(notice)
 	if err != nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,13 +40,14 @@
 	calls   *caller.Client
 	socket  *net.UDPConn
 
-	mutex    sync.Mutex
-	belief   *Belief
-	readAt   time.Time
-	peers    map[string]*peer
-	wake     chan struct{}
-	fetching map[string]bool
-	group    *GroupState
+	mutex  sync.Mutex
+	belief *Belief
+	readAt time.Time
+	peers  map[string]*peer
+	// fetchingAt is the revision that is being fetched from a peer, and fetchingSince when that began.
+	fetchingAt    uint64
+	fetchingSince time.Time
+	group         *GroupState
 
 	reads, failures int
 }
@@ -67,13 +68,11 @@
 		return nil, eris.Wrap(err, "listen for notices")
 	}
 	return &Relayer{
-		options:  options,
-		source:   source,
-		calls:    calls,
-		socket:   socket,
-		peers:    map[string]*peer{},
-		wake:     make(chan struct{}, 1),
-		fetching: map[string]bool{},
+		options: options,
+		source:  source,
+		calls:   calls,
+		socket:  socket,
+		peers:   map[string]*peer{},
 	}, nil
 }
 
@@ -92,12 +91,17 @@
 	return relayer.belief, time.Since(relayer.readAt)
 }
 
-// Fetch answers a peer that asks for the belief.
-func (relayer *Relayer) Fetch(_ FetchRequest, reply *FetchReply) error {
+// Fetch answers a peer that asks for the belief, without the configuration if the peer has it, as it is by far the largest part.
+func (relayer *Relayer) Fetch(request FetchRequest, reply *FetchReply) error {
 	reply.Belief, reply.Age = relayer.Belief()
 	if reply.Belief == nil {
 		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnavailable, "nothing is known here yet"))
 	}
+	if deployment := reply.Belief.Deployment; deployment != nil && deployment.Revision == request.Deployment {
+		belief := *reply.Belief
+		belief.Deployment = nil
+		reply.Belief, reply.SameDeployment = &belief, true
+	}
 	return nil
 }
 
@@ -173,18 +177,19 @@
 		_ = level.Warn(relayer.options.Logger).Log("event", "store_read_failed", "error", err)
 		return err
 	}
-	relayer.adopt(newBelief(next), begun, "store")
-	relayer.announce(true)
+	if !relayer.adopt(newBelief(next), begun, "store") {
+		relayer.tellAge()
+	}
 	return nil
 }
 
-// adopt takes over a belief that is newer than the present one.
-func (relayer *Relayer) adopt(next *Belief, readAt time.Time, from string) {
+// adopt takes over a belief that is newer than the present one, and passes the word on and returns true where its content differs.
+func (relayer *Relayer) adopt(next *Belief, readAt time.Time, from string) bool {
 	relayer.mutex.Lock()
 	before := relayer.belief
 	if before != nil && next.At < before.At {
 		relayer.mutex.Unlock()
-		return
+		return false
 	}
 	relayer.belief = next
 	if readAt.After(relayer.readAt) {
@@ -195,13 +200,16 @@
 		relayer.options.Changed(before, next)
 	}
 	relayer.mutex.Unlock()
-	if changed {
-		version := uint64(0)
-		if next.Deployment != nil {
-			version = next.Deployment.Version
-		}
-		_ = level.Info(relayer.options.Logger).Log("event", "belief_changed", "from", from, "at", next.At, "configuration", version, "servers", len(next.Servers), "age_ms", time.Since(readAt).Milliseconds())
+	if !changed {
+		return false
+	}
+	version := uint64(0)
+	if next.Deployment != nil {
+		version = next.Deployment.Version
 	}
+	_ = level.Info(relayer.options.Logger).Log("event", "belief_changed", "from", from, "at", next.At, "configuration", version, "servers", len(next.Servers), "age_ms", time.Since(readAt).Milliseconds())
+	relayer.spread()
+	return true
 }
 
 // Address returns where peers reach this process.
