Let a rank copy for a change only as long as a pass may take, and bound each rank's requests by the engine's model

Ruled out: arming (30 to 60 ms), the search (agents use under 0.03 of a core).

The controller also tells the entries how many requests a rank should have at most, by the engine's model and the measured passes, so that streams aren't late by the slots alone.

--- /dev/null
+++ b/admitter/limit.go
@@ -0,0 +1,65 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+const (
+	// copySlowdown is how much longer passes take while ranks copy experts, which in a group under demand that shifts they do much of the time; the platform publishes it.
+	copySlowdown = 1.15
+	// lateWorth is what a late stream is worth to its caller beside one on time, by the users' sheets of services: 0.49 to 0.51.
+	lateWorth = 0.5
+	// memory is over how long the length of passes is averaged: a shift of demand makes a few of them long until the map follows, which is no reason to refuse anything.
+	memory = 1500 * time.Millisecond
+)
+
+// Estimator follows the passes of one group; its zero value is ready.
+type Estimator struct {
+	// perLevel is how long a pass takes for each unit of the engine model's step time.
+	perLevel float64
+	seen     time.Time
+}
+
+// Observe takes in how long passes take at a moment with so many requests running on each rank on average.
+func (estimator *Estimator) Observe(engine *cranberryward.EngineModel, now time.Time, pass time.Duration, running float64) {
+	level := stepTime(engine, running)
+	if pass <= 0 || level <= 0 {
+		return
+	}
+	sample := float64(pass) / level
+	weight := 1.0
+	if estimator.perLevel > 0 {
+		weight = min(float64(now.Sub(estimator.seen))/float64(memory), 1)
+	}
+	estimator.perLevel += weight * (sample - estimator.perLevel)
+	estimator.seen = now
+}
+
+// Limit returns how many requests each rank should run, at most its slots, so that the pauses between events stay within the objective.
+// It is the number of slots where nothing was observed, or where streams on time would be too few to be worth the late ones.
+func (estimator *Estimator) Limit(engine *cranberryward.EngineModel, objective time.Duration) int {
+	slots := engine.Slots
+	perSequence := stepTime(engine, 1) - stepTime(engine, 0)
+	if estimator.perLevel <= 0 || objective <= 0 || perSequence <= 0 {
+		return slots
+	}
+	target := float64(objective) / copySlowdown / estimator.perLevel
+	limit := int((target - stepTime(engine, 0)) / perSequence)
+	if limit >= slots || goodput(engine, limit) < lateWorth*goodput(engine, slots) {
+		return slots
+	}
+	return limit
+}
+
+// stepTime returns how long the engine model lets one step with so many requests take, in milliseconds.
+func stepTime(engine *cranberryward.EngineModel, running float64) float64 {
+	context := engine.UsualPrompt + engine.UsualAnswer/2
+	return engine.StepMS + running*(engine.PerSequenceMS+engine.ContextPerThousand*context/1000)
+}
+
+// goodput returns in which proportion requests end when so many run at once.
+func goodput(engine *cranberryward.EngineModel, running int) float64 {
+	return max(float64(running), 0) / stepTime(engine, float64(running))
+}
--- /dev/null
+++ b/admitter/limit_test.go
@@ -0,0 +1,81 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+)
+
+var engine = &cranberryward.EngineModel{
+	Slots:         10,
+	StepMS:        5,
+	PerSequenceMS: 0.5,
+}
+
+func TestLimit(t *testing.T) {
+	const objective = 115 * time.Millisecond // 100 ms beside copying
+	for _, test := range []struct {
+		name     string
+		pass     time.Duration
+		running  float64
+		expected int
+	}{
+		{
+			name:     "nothing observed",
+			expected: 10,
+		},
+		{
+			name:     "short passes",
+			pass:     60 * time.Millisecond,
+			running:  10,
+			expected: 10,
+		},
+		{
+			name:     "passes a quarter too long with all slots taken",
+			pass:     125 * time.Millisecond,
+			running:  10,
+			expected: 6,
+		},
+		{
+			name:     "the same group with half of its slots taken",
+			pass:     93750 * time.Microsecond,
+			running:  5,
+			expected: 6,
+		},
+		{
+			name:     "passes too long even for two requests",
+			pass:     170 * time.Millisecond,
+			running:  10,
+			expected: 10,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var estimator Estimator
+			estimator.Observe(engine, time.Unix(1, 0), test.pass, test.running)
+			if limit := estimator.Limit(engine, objective); limit != test.expected {
+				t.Errorf("limit %d, expected %d", limit, test.expected)
+			}
+		})
+	}
+}
+
+func TestLimitForgetsAShortSpellOfLongPasses(t *testing.T) {
+	var estimator Estimator
+	now := time.Unix(1, 0)
+	estimator.Observe(engine, now, 80*time.Millisecond, 10)
+	for range 3 {
+		now = now.Add(100 * time.Millisecond)
+		estimator.Observe(engine, now, 130*time.Millisecond, 10)
+	}
+	if limit := estimator.Limit(engine, 115*time.Millisecond); limit != 10 {
+		t.Errorf("limit %d after three long passes, expected all slots", limit)
+	}
+	for range 60 {
+		now = now.Add(100 * time.Millisecond)
+		estimator.Observe(engine, now, 130*time.Millisecond, 10)
+	}
+	if limit := estimator.Limit(engine, 115*time.Millisecond); limit >= 10 {
+		t.Errorf("limit %d after six seconds of long passes, expected fewer than the slots", limit)
+	}
+}
--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -86,6 +86,14 @@
 	servers.durations[service] = before + time.Duration(durationWeight*float64(duration-before))
 }
 
+// places returns how many requests a backend server should have at most.
+func (servers *servers) places(service string, state *serverState) int {
+	if limit := servers.limits[service]; limit > 0 {
+		return min(limit, state.server.Slots)
+	}
+	return state.server.Slots
+}
+
 // wait estimates how long one more request of a service waits for a slot, from the told loads; it is zero where they are not known.
 func (servers *servers) wait(service string) time.Duration {
 	servers.mutex.Lock()
@@ -97,7 +105,7 @@
 		if state.standing(now, nil) != 0 || state.server.Slots <= 0 {
 			continue
 		}
-		slots += state.server.Slots
+		slots += servers.places(service, state)
 		busy += state.running + state.others
 		candidates = append(candidates, candidate{state: state})
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -83,8 +83,11 @@
 // Share takes over how many requests the other entries have at each backend server.
 func (forwarder *Forwarder) Share(others map[string]int) { forwarder.servers.share(others) }
 
-// HearBusy takes in how many requests of all entries each backend server has, which for a while goes before what the entries tell.
-func (forwarder *Forwarder) HearBusy(busy map[string]int) { forwarder.servers.hearBusy(busy) }
+// HearBusy takes in how many requests of all entries each backend server of a service has, which for a while goes before what the entries
+// tell, and at most how many each should have, zero for its slots.
+func (forwarder *Forwarder) HearBusy(service string, busy map[string]int, limit int) {
+	forwarder.servers.hearBusy(service, busy, limit)
+}
 
 // InFlight returns how many requests are being answered.
 func (forwarder *Forwarder) InFlight() int64 { return forwarder.inFlight.Load() }
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -50,7 +50,9 @@
 	mutex sync.Mutex
 	// durations are how long requests of a service last.
 	durations map[string]time.Duration
-	states    map[string]*serverState
+	// limits are at most how many requests each backend server of a service should have, by the last word of a controller.
+	limits map[string]int
+	states map[string]*serverState
 	// heardAt is when a controller last told of loads.
 	heardAt time.Time
 	byName  map[string][]*serverState
@@ -102,9 +104,13 @@
 }
 
 // hearBusy takes over how many requests the backend servers had a moment ago; those of this entry are counted anew.
-func (servers *servers) hearBusy(busy map[string]int) {
+func (servers *servers) hearBusy(service string, busy map[string]int, limit int) {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
+	if servers.limits == nil {
+		servers.limits = map[string]int{}
+	}
+	servers.limits[service] = limit
 	now := time.Now()
 	servers.heardAt = now
 	for id, count := range busy {
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/admitter"
 	"github.com/cranberryward/cranberryward/caller"
 	"github.com/cranberryward/cranberryward/gateway/settings"
 	"github.com/cranberryward/cranberryward/platform"
@@ -49,6 +50,9 @@
 	service  *rankService
 	relayer  *relayer.Relayer
 
+	// estimator is used by the present term's steward only.
+	estimator admitter.Estimator
+
 	mutex   sync.Mutex
 	members map[string]*hands
 	told    time.Time
--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -43,10 +43,11 @@
 	return members
 }
 
-// Observed tells the entries how many requests each rank of the group has.
-func (agent *Agent) Observed(reports map[string]cranberryward.RankReport) {
-	agent.mutex.Lock()
+// Observed tells the entries how many requests each rank of the group has and should have at most.
+func (agent *Agent) Observed(reports map[string]cranberryward.RankReport, pass time.Duration) {
 	now := time.Now()
+	limit := agent.limit(reports, now, pass)
+	agent.mutex.Lock()
 	due := now.Sub(agent.told) >= tellInterval
 	if due {
 		agent.told = now
@@ -60,7 +61,21 @@
 		// A rank that takes longer for the same work counts as having more of it, so that entries spare it.
 		busy[id] = int(float64(report.Running+report.Waiting+1)*max(report.Pace, 1)) - 1
 	}
-	agent.relayer.TellBusy(agent.settings.Service, busy)
+	agent.relayer.TellBusy(agent.settings.Service, busy, limit)
+}
+
+// limit returns how many requests each rank should have at most, and zero where that is not known.
+func (agent *Agent) limit(reports map[string]cranberryward.RankReport, now time.Time, pass time.Duration) int {
+	engine := agent.Engine()
+	if engine == nil || len(reports) == 0 {
+		return 0
+	}
+	running := 0
+	for _, report := range reports {
+		running += report.Running
+	}
+	agent.estimator.Observe(engine, now, pass, float64(running)/float64(len(reports)))
+	return agent.estimator.Limit(engine, agent.PauseObjective())
 }
 
 // Engine returns the cost model of the group's service.
--- a/gateway/agent/steward_test.go
+++ b/gateway/agent/steward_test.go
@@ -130,7 +130,7 @@
 func (bench *bench) PauseObjective() time.Duration { return passTime }
 
 // Observed takes no part here.
-func (bench *bench) Observed(map[string]cranberryward.RankReport) {}
+func (bench *bench) Observed(map[string]cranberryward.RankReport, time.Duration) {}
 
 // Engine returns the cost model of the stand-ins.
 func (bench *bench) Engine() *cranberryward.EngineModel {
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -472,13 +472,13 @@
 		"i-0": 0,
 		"i-1": 3,
 	}
-	stage.forwarder.HearBusy(busy)
+	stage.forwarder.HearBusy("app", busy, 0)
 	delete(busy, "i-0")
 	deadline := time.After(patience)
 	ticker := time.NewTicker(hearInterval)
 	defer ticker.Stop()
 	for {
-		stage.forwarder.HearBusy(busy)
+		stage.forwarder.HearBusy("app", busy, 0)
 		if _, body := stage.send(stage.request(http.MethodPost, "/book/", "question")); body == "second" {
 			return
 		}
--- a/planner/increment.go
+++ b/planner/increment.go
@@ -97,6 +97,13 @@
 	return slowest
 }
 
+func (incrementSearch *incrementSearch) allowance(rank int) int {
+	if rank < len(incrementSearch.increment.Allowances) {
+		return min(incrementSearch.increment.Allowances[rank], incrementSearch.increment.Newcomers)
+	}
+	return incrementSearch.increment.Newcomers
+}
+
 func (incrementSearch *incrementSearch) pace(rank int) float64 {
 	if rank < len(incrementSearch.increment.Paces) {
 		return incrementSearch.increment.Paces[rank]
@@ -126,7 +133,7 @@
 				continue
 			}
 			returning := incrementSearch.original[rank][in]
-			if !returning && incrementSearch.newcomers[rank] >= incrementSearch.increment.Newcomers {
+			if !returning && incrementSearch.newcomers[rank] >= incrementSearch.allowance(rank) {
 				continue
 			}
 			if len(incrementSearch.placement[rank]) < incrementSearch.increment.Places {
--- a/planner/message.go
+++ b/planner/message.go
@@ -57,6 +57,9 @@
 	Newcomers int
 	// MinimumGain is how much crowding each step must remove, as a share of that of the most crowded rank.
 	MinimumGain float64
+	// Allowances are how many experts each rank may take in, where other layers of the same change leave it fewer than Newcomers; an empty
+	// slice sets no such bound.
+	Allowances []int
 	// Paces are how much longer than usual each rank takes for the same work; an empty slice takes all ranks as equal.
 	Paces []float64
 }
--- a/relayer/busy.go
+++ b/relayer/busy.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// TellBusy tells the entries how many requests each backend server of a service has.
-func (relayer *Relayer) TellBusy(service string, busy map[string]int) {
+// TellBusy tells the entries how many requests each backend server of a service has, and at most how many each should have, zero if that is not known.
+func (relayer *Relayer) TellBusy(service string, busy map[string]int, limit int) {
 	relayer.mutex.Lock()
 	belief := relayer.belief
 	var entries []string
@@ -20,7 +20,10 @@
 	notice := Notice{
 		From:    relayer.options.Address,
 		Content: belief.Content,
-		Busy:    &Busy{Service: service},
+		Busy: &Busy{
+			Service: service,
+			Limit:   limit,
+		},
 	}
 	for _, id := range belief.serviceIDs(service) {
 		count, observed := busy[id]
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -45,6 +45,8 @@
 	Service string `json:"service"`
 	// Counts has one byte for a backend server; 255 stands for an unknown count.
 	Counts []byte `json:"counts"`
+	// Limit is at most how many requests each of them should have, and zero where that is not known.
+	Limit int `json:"limit,omitempty"`
 }
 
 // FetchRequest asks a peer for its belief.
--- a/relayer/message_options.go
+++ b/relayer/message_options.go
@@ -21,8 +21,8 @@
 	Changed func(before, now *Belief)
 	// Running returns the requests of this entry at each backend server.
 	Running func() map[string]int
-	// HeardBusy is called with the load of backend servers, by id, that a group's controller tells of.
-	HeardBusy func(busy map[string]int)
+	// HeardBusy is called with the load of a service's backend servers, by id, that a group's controller tells of, and with its limit for each.
+	HeardBusy func(service string, busy map[string]int, limit int)
 	// Heard is called with each notice of a peer.
 	Heard  func(notice Notice)
 	Logger log.Logger
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -52,7 +52,7 @@
 		}
 		if notice.Busy != nil {
 			if relayer.options.HeardBusy != nil {
-				relayer.options.HeardBusy(relayer.busyByID(notice))
+				relayer.options.HeardBusy(notice.Busy.Service, relayer.busyByID(notice), notice.Busy.Limit)
 			}
 			continue
 		}
--- a/steward/change.go
+++ b/steward/change.go
@@ -72,7 +72,7 @@
 	steward.placement, steward.version = next, version
 	steward.changes++
 	meter.MapChange(prepared.Sub(begun), time.Since(prepared))
-	_ = level.Debug(steward.logger).Log("event", "map_armed", "version", version, "step", step, "copies", copies,
+	_ = level.Info(steward.logger).Log("event", "map_armed", "version", version, "step", step, "copies", copies,
 		"prepare_ms", prepared.Sub(begun).Milliseconds(), "arm_ms", time.Since(prepared).Milliseconds(), "lead", steward.lead, "pass_ms", steward.passTime.Milliseconds())
 	return steward.awaitSwitch(ctx, version)
 }
--- a/steward/demand.go
+++ b/steward/demand.go
@@ -57,6 +57,11 @@
 	demand.decays = now
 }
 
+// set returns the demand for the experts of one set.
+func (demand *demand) set(set, experts int) []float64 {
+	return demand.loads[set*experts : (set+1)*experts]
+}
+
 // total returns how much was seen, which says how far the estimate can be believed.
 func (demand *demand) total() float64 {
 	total := 0.0
--- a/steward/observe.go
+++ b/steward/observe.go
@@ -61,7 +61,7 @@
 	for _, rank := range ranks {
 		reports[rank.id] = rank.observed.Report
 	}
-	steward.group.Observed(reports)
+	steward.group.Observed(reports, steward.passTime)
 }
 
 // sampled returns whether a member is one of those whose counts are read, which are spread evenly.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -1,8 +1,10 @@
 package steward
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -30,6 +32,8 @@
 	// calmPressure and fullPressure are the shares of the pause objective that a pass takes in both.
 	calmPressure = 0.5
 	fullPressure = 0.9
+	// copyBudget is how long a rank may copy for one change where no pause objective is configured: about one pass.
+	copyBudget = 120 * time.Millisecond
 	// worthwhile is the share of the pass's expert time that a change must save.
 	worthwhile = 0.02
 )
@@ -42,8 +46,9 @@
 	Engine() *cranberryward.EngineModel
 	// PauseObjective returns the longest pause between events that is still on time, and zero where none is configured.
 	PauseObjective() time.Duration
-	// Observed is called with the reports of the ranks that answered, by the ids of their backend servers, after each observation.
-	Observed(reports map[string]cranberryward.RankReport)
+	// Observed is called with the reports of the ranks that answered, by the ids of their backend servers, after each observation, and with
+	// how long passes take, zero where that is not known.
+	Observed(reports map[string]cranberryward.RankReport, pass time.Duration)
 }
 
 // Steward controls one group during one term.
@@ -91,6 +96,7 @@
 // Run controls the group until the context ends or a later term has begun.
 func (steward *Steward) Run(ctx context.Context) error {
 	for {
+		before := steward.changes
 		if err := steward.round(ctx); err != nil {
 			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
 				return err
@@ -98,6 +104,9 @@
 			meter.MapFailure()
 			_ = level.Info(steward.logger).Log("event", "map_round_failed", "error", err)
 		}
+		if steward.changes > before {
+			continue // the wait for the switch was pause enough
+		}
 		if err := sleep(ctx, steward.interval()); err != nil {
 			return err
 		}
@@ -146,20 +155,28 @@
 		MinimumGain: steward.leastGain(),
 		Paces:       steward.paces(),
 	}
+	allowance := steward.copiesPerRank(engine)
+	for range steward.ranks {
+		increment.Allowances = append(increment.Allowances, allowance)
+	}
+	skews := make([]float64, engine.Sets)
+	for set := range skews {
+		skews[set] = increment.Skew(steward.placement[set], steward.demand.set(set, engine.Experts))
+	}
+	next = slices.Clone(steward.placement)
 	before, after := 0.0, 0.0
-	perRank := make([]int, len(steward.ranks))
-	for set := range engine.Sets {
-		loads := steward.demand.loads[set*engine.Experts : (set+1)*engine.Experts]
+	for _, set := range worstFirst(skews) {
+		loads := steward.demand.set(set, engine.Experts)
 		improved, _ := increment.Improve(steward.placement[set], loads)
-		before += increment.Skew(steward.placement[set], loads)
+		before += skews[set]
 		after += increment.Skew(improved, loads)
 		for rank := range improved {
-			perRank[rank] += newcomers(steward.placement[set][rank], improved[rank])
+			increment.Allowances[rank] -= newcomers(steward.placement[set][rank], improved[rank])
 		}
-		next = append(next, improved)
+		next[set] = improved
 	}
-	for _, count := range perRank {
-		copies = max(copies, count)
+	for _, left := range increment.Allowances {
+		copies = max(copies, allowance-left)
 	}
 	if before <= 0 {
 		return next, copies, 0
@@ -167,6 +184,29 @@
 	return next, copies, (before - after) / before
 }
 
+// copiesPerRank returns how many experts, of all sets together, one rank copies for a change. A rank copies them one after the other while
+// the whole group waits for the map, so many ranks with a copy each are far faster than one with many.
+func (steward *Steward) copiesPerRank(engine *cranberryward.EngineModel) int {
+	budget := steward.group.PauseObjective()
+	if budget <= 0 {
+		budget = copyBudget
+	}
+	if engine.CopyTime() <= 0 {
+		return engine.Sets
+	}
+	return max(int(budget/engine.CopyTime()), 1)
+}
+
+// worstFirst returns the sets in the order in which they are improved, as the first ones have the first choice of ranks to copy to.
+func worstFirst(skews []float64) []int {
+	sets := make([]int, len(skews))
+	for set := range sets {
+		sets[set] = set
+	}
+	slices.SortStableFunc(sets, func(a, b int) int { return cmp.Compare(skews[b], skews[a]) })
+	return sets
+}
+
 // leastGain returns how much crowding a copy must remove under the present length of passes.
 func (steward *Steward) leastGain() float64 {
 	objective := steward.group.PauseObjective()
