--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// copySlowdown is how much longer passes take while ranks copy experts, which in a group under demand that shifts they do much of the time; the platform publishes it.
-	copySlowdown = 1.15
+	// longestPass is how long the longest pass in the life of a stream takes beside the mean one: passes are 1.15 times as long while ranks copy
+	// experts, by the published model, and longer by half a chunk's reading when a rank has several prompts to read.
+	longestPass = 1.4
 	// lateWorth is what a late stream is worth to its caller beside one on time, by the users' sheets of services: 0.49 to 0.51.
 	lateWorth = 0.5
 	// memory is over how long the length of passes is averaged: a shift of demand makes a few of them long until the map follows, which is no reason to refuse anything.
@@ -45,7 +46,7 @@
 	if estimator.perLevel <= 0 || objective <= 0 || perSequence <= 0 {
 		return slots
 	}
-	target := float64(objective) / copySlowdown / estimator.perLevel
+	target := float64(objective) / longestPass / estimator.perLevel
 	limit := int((target - stepTime(engine, 0)) / perSequence)
 	if limit >= slots || goodput(engine, limit) < lateWorth*goodput(engine, slots) {
 		return slots
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -37,7 +37,9 @@
 	storeTimeout = time.Second
 	// tellInterval is how often the controller tells the entries of the load of the ranks; they spread requests by it.
 	tellInterval = 75 * time.Millisecond
-	groupPrefix  = "cranberryward/group/"
+	// loadLogInterval is how often the controller writes one line on the load of its group.
+	loadLogInterval = time.Second
+	groupPrefix     = "cranberryward/group/"
 )
 
 // Agent is the process beside one rank.
@@ -52,6 +54,8 @@
 
 	// estimator is used by the present term's steward only.
 	estimator admitter.Estimator
+	// logged is when the load of the group was last written to the log.
+	logged time.Time
 
 	mutex   sync.Mutex
 	members map[string]*hands
--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -1,12 +1,14 @@
 package agent
 
 import (
+	"fmt"
 	"net"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/platform"
 	"github.com/cranberryward/cranberryward/steward"
+	"github.com/go-kit/log/level"
 )
 
 // Members returns the ranks that are registered now.
@@ -74,8 +76,14 @@
 	for _, report := range reports {
 		running += report.Running
 	}
-	agent.estimator.Observe(engine, now, pass, float64(running)/float64(len(reports)))
-	return agent.estimator.Limit(engine, agent.PauseObjective())
+	mean := float64(running) / float64(len(reports))
+	agent.estimator.Observe(engine, now, pass, mean)
+	limit := agent.estimator.Limit(engine, agent.PauseObjective())
+	if now.Sub(agent.logged) >= loadLogInterval {
+		agent.logged = now
+		_ = level.Info(agent.logger).Log("event", "group_load", "ranks", len(reports), "running", fmt.Sprintf("%.1f", mean), "limit", limit, "pass_ms", pass.Milliseconds())
+	}
+	return limit
 }
 
 // Engine returns the cost model of the group's service.
