Tell peers only the registrations that changed

A process now remembers its last 64 changes and tells what came since the asker's belief; the parts must have the digest of the whole, or all of it is fetched. Tests: missed changes, a new configuration, more changes than are remembered, parts that do not fit.

--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -38,8 +38,8 @@
 	estimator.seen = now
 }
 
-// Limit returns how many requests each rank should run, at most its slots, so that the pauses between events stay within the objective.
-// It is the number of slots where nothing was observed, or where streams on time would be too few to be worth the late ones.
+// Limit returns how many requests each rank should run for pauses within the objective, and all of its slots where nothing was observed or
+// the streams on time would be too few to be worth the late ones.
 func (estimator *Estimator) Limit(engine *cranberryward.EngineModel, objective time.Duration) int {
 	slots := engine.Slots
 	perSequence := stepTime(engine, 1) - stepTime(engine, 0)
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -53,6 +53,8 @@
 type FetchRequest struct {
 	// Deployment is the revision of the configuration that the asker has, and zero without one.
 	Deployment uint64
+	// Content is that of the belief that the asker has, and zero without one.
+	Content uint64
 }
 
 // FetchReply is a peer's belief with its age.
@@ -61,4 +63,8 @@
 	Age    time.Duration
 	// SameDeployment means that the belief holds the configuration that the asker has, which is left out.
 	SameDeployment bool
+	// ChangesOnly means that the belief's backend servers are left out, and are those of the asker's belief but for Changed and Removed.
+	ChangesOnly bool
+	Changed     map[string]cranberryward.BackendServer
+	Removed     map[string]bool
 }
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -125,25 +125,36 @@
 	return peerExpiry * time.Duration(len(relayer.peers)/tellFanout+1)
 }
 
-// fetch takes over the belief of a peer that knows more.
+// fetch takes over the belief of a peer that knows more: first what this process does not have of it, and all of it if that does not fit together.
 func (relayer *Relayer) fetch(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	var request FetchRequest
 	present, _ := relayer.Belief()
+	belief, age, err := relayer.fetchBeside(ctx, address, present)
+	if err == nil && belief == nil {
+		belief, age, err = relayer.fetchBeside(ctx, address, nil)
+	}
+	if err != nil || belief == nil {
+		_ = level.Info(relayer.options.Logger).Log("event", "belief_fetch_failed", "peer", address, "error", err)
+		return
+	}
+	relayer.adopt(belief, time.Now().Add(-age), address)
+}
+
+// fetchBeside asks a peer for its belief with what is different from the present one, and returns none where the parts do not make that belief.
+func (relayer *Relayer) fetchBeside(ctx context.Context, address string, present *Belief) (*Belief, time.Duration, error) {
+	var request FetchRequest
+	if present != nil {
+		request.Content = present.Content
+	}
 	if present != nil && present.Deployment != nil {
 		request.Deployment = present.Deployment.Revision
 	}
 	var reply FetchReply
-	err := relayer.calls.Call(ctx, address, "Belief.Fetch", request, &reply)
-	if err == nil && reply.SameDeployment {
-		reply.Belief.Deployment = present.Deployment
-	}
-	if err != nil {
-		_ = level.Info(relayer.options.Logger).Log("event", "belief_fetch_failed", "peer", address, "error", err)
-		return
+	if err := relayer.calls.Call(ctx, address, "Belief.Fetch", request, &reply); err != nil {
+		return nil, 0, err
 	}
-	relayer.adopt(reply.Belief, time.Now().Add(-reply.Age), address)
+	return reply.complete(present), reply.Age, nil
 }
 
 // tell sends notices regularly.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,10 +40,11 @@
 	calls   *caller.Client
 	socket  *net.UDPConn
 
-	mutex  sync.Mutex
-	belief *Belief
-	readAt time.Time
-	peers  map[string]*peer
+	mutex   sync.Mutex
+	belief  *Belief
+	changes changes
+	readAt  time.Time
+	peers   map[string]*peer
 	// fetchingAt is the revision that is being fetched from a peer, and fetchingSince when that began.
 	fetchingAt    uint64
 	fetchingSince time.Time
@@ -91,16 +92,24 @@
 	return relayer.belief, time.Since(relayer.readAt)
 }
 
-// Fetch answers a peer that asks for the belief, without the configuration if the peer has it, as it is by far the largest part.
+// Fetch answers a peer that asks for the belief, without the configuration if the peer has it, and with changes of the registrations only if
+// they are remembered from the peer's belief on, as both grow with the deployment.
 func (relayer *Relayer) Fetch(request FetchRequest, reply *FetchReply) error {
-	reply.Belief, reply.Age = relayer.Belief()
-	if reply.Belief == nil {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	if relayer.belief == nil {
 		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnavailable, "nothing is known here yet"))
 	}
-	if deployment := reply.Belief.Deployment; deployment != nil && deployment.Revision == request.Deployment {
-		belief := *reply.Belief
-		belief.Deployment = nil
-		reply.Belief, reply.SameDeployment = &belief, true
+	belief := *relayer.belief
+	reply.Belief, reply.Age = &belief, time.Since(relayer.readAt)
+	if deployment := belief.Deployment; deployment != nil && deployment.Revision == request.Deployment {
+		belief.Deployment, reply.SameDeployment = nil, true
+	}
+	if request.Content != 0 {
+		reply.Changed, reply.Removed, reply.ChangesOnly = relayer.changes.since(request.Content)
+	}
+	if reply.ChangesOnly {
+		belief.Servers = nil
 	}
 	return nil
 }
@@ -196,6 +205,9 @@
 		relayer.readAt = readAt
 	}
 	changed := before == nil || before.Content != next.Content
+	if changed && before != nil {
+		relayer.changes.note(before, next)
+	}
 	if changed && relayer.options.Changed != nil {
 		relayer.options.Changed(before, next)
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -63,42 +63,82 @@
 	}
 }
 
-// TestFetchLeavesOutTheConfigurationThatTheAskerHas asks a process with a newer list of backend servers.
-func TestFetchLeavesOutTheConfigurationThatTheAskerHas(t *testing.T) {
-	relayer := newTestRelayer(t, nil)
-	view := viewAt(9)
-	view.Servers = map[string]cranberryward.BackendServer{"i-1": {ID: "i-1"}}
-	relayer.adopt(newBelief(view), time.Now(), "store")
-	for _, test := range []struct {
-		name string
-		has  uint64
-		same bool
-	}{
-		{
-			name: "nothing",
-			has:  0,
-		},
-		{
-			name: "an older one",
-			has:  8,
-		},
-		{
-			name: "the same",
-			has:  9,
-			same: true,
-		},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			var reply FetchReply
-			if err := relayer.Fetch(FetchRequest{Deployment: test.has}, &reply); err != nil {
-				t.Fatal(err)
-			}
-			if reply.SameDeployment != test.same || (reply.Belief.Deployment == nil) != test.same || len(reply.Belief.Servers) != 1 {
-				t.Errorf("same %v, configuration %v, %d backend servers", reply.SameDeployment, reply.Belief.Deployment, len(reply.Belief.Servers))
-			}
-		})
-	}
-	if belief, _ := relayer.Belief(); belief.Deployment == nil {
-		t.Error("the process forgot its own configuration")
+// take lets a process take over a peer's belief as it would after a notice, and returns the peer's reply.
+func take(t *testing.T, asker, peer *Relayer) FetchReply {
+	t.Helper()
+	var request FetchRequest
+	present, _ := asker.Belief()
+	if present != nil {
+		request.Content, request.Deployment = present.Content, present.Deployment.Revision
+	}
+	var reply FetchReply
+	if err := peer.Fetch(request, &reply); err != nil {
+		t.Fatal(err)
+	}
+	belief := reply.complete(present)
+	if belief == nil {
+		t.Fatal("the parts do not make the peer's belief")
+	}
+	asker.adopt(belief, time.Now(), "peer")
+	return reply
+}
+
+func servers(states map[string]bool) map[string]cranberryward.BackendServer {
+	servers := map[string]cranberryward.BackendServer{}
+	for id, leaving := range states {
+		servers[id] = cranberryward.BackendServer{
+			ID:      id,
+			Leaving: leaving,
+		}
+	}
+	return servers
+}
+
+// TestFetchTellsOnlyWhatIsNew lets a process miss one or more changes of a peer's belief, and then more than the peer remembers.
+func TestFetchTellsOnlyWhatIsNew(t *testing.T) {
+	peer, asker := newTestRelayer(t, nil), newTestRelayer(t, nil)
+	learn := func(revision, deployment uint64, states map[string]bool) {
+		view := viewAt(revision)
+		view.Deployment = viewAt(deployment).Deployment
+		view.Servers = servers(states)
+		peer.adopt(newBelief(view), time.Now(), "store")
+	}
+	learn(1, 1, map[string]bool{"a": false, "b": false, "c": false})
+	if reply := take(t, asker, peer); reply.ChangesOnly || reply.SameDeployment {
+		t.Error("a process without a belief was told changes only")
+	}
+	learn(2, 1, map[string]bool{"a": true, "b": false, "c": false})
+	learn(3, 1, map[string]bool{"b": false, "c": false, "d": false})
+	if reply := take(t, asker, peer); !reply.ChangesOnly || !reply.SameDeployment || len(reply.Changed) != 1 || len(reply.Removed) != 1 {
+		t.Errorf("two changes were told as changed %v, removed %v, the configuration left out %v", reply.Changed, reply.Removed, reply.SameDeployment)
+	}
+	learn(4, 4, map[string]bool{"b": false, "c": false, "d": false})
+	if reply := take(t, asker, peer); !reply.ChangesOnly || reply.SameDeployment || len(reply.Changed) != 0 {
+		t.Errorf("a new configuration was told with changed %v, left out %v", reply.Changed, reply.SameDeployment)
+	}
+	for revision := uint64(5); revision < 5+2*changesKept; revision++ {
+		learn(revision, 4, map[string]bool{"b": revision%2 == 0, "e": false})
+	}
+	if reply := take(t, asker, peer); reply.ChangesOnly {
+		t.Error("changes were told of which the first are forgotten")
+	}
+	now, _ := peer.Belief()
+	if belief, _ := asker.Belief(); belief.Content != now.Content || len(belief.Servers) != 2 {
+		t.Errorf("the process believes in %v, its peer in %v", belief.Servers, now.Servers)
+	}
+}
+
+func TestPartsThatDoNotFitMakeNoBelief(t *testing.T) {
+	present := newBelief(viewAt(1))
+	reply := FetchReply{
+		Belief:      newBelief(viewAt(2)),
+		ChangesOnly: true,
+		Changed:     servers(map[string]bool{"a": false}),
+	}
+	if reply.complete(present) != nil {
+		t.Error("a belief was made of parts that are not its own")
+	}
+	if reply.complete(nil) != nil {
+		t.Error("a belief was made of changes alone")
 	}
 }
