Refuse requests to a group that stands still

Ruled out: the way of the close (reset within milliseconds), a held group (0.0 s held).

Change: all ranks execute each pass together, so an entry sees by its own streams that the group stands still; from 2.5 pauses on it refuses new requests with a time to return. TestGroupThatStandsStillTakesNoNewRequests failed before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -41,6 +41,7 @@
 	connector connector.Connector
 	budget    budget
 	groups    groups
+	pulse     pulse
 	stopping  atomic.Bool
 	// stopBy is the Unix nanosecond at which a stopping process ends.
 	stopBy   atomic.Int64
@@ -144,7 +145,10 @@
 		return stopRetryAfter, "stopping"
 	}
 	if forwarder.groups.closed(exchange.service) {
-		return closedRetryAfter + time.Duration(rand.Int64N(int64(closedSpread))), "group_broken"
+		return untilOpen(), "group_broken"
+	}
+	if forwarder.standsStill(exchange) {
+		return untilOpen(), "group_still"
 	}
 	if wait := forwarder.servers.wait(exchange.service); exchange.route.Objective > 0 && wait > time.Duration(waitShare*float64(exchange.route.Objective)) {
 		return wait + time.Duration(rand.Int64N(int64(wait))), "overloaded"
@@ -152,6 +156,13 @@
 	return 0, ""
 }
 
+// standsStill returns whether the group that would serve a request executes no passes, so that the request would only wait there, perhaps at
+// a rank that wakes after its caller has left.
+func (forwarder *Forwarder) standsStill(exchange *exchange) bool {
+	service := forwarder.table.Load().services[exchange.service]
+	return service != nil && service.Engine != nil && forwarder.pulse.still(exchange.service, exchange.route.PauseObjective)
+}
+
 // place finds the route, workspace and time of a request, or answers it.
 func (forwarder *Forwarder) place(writer http.ResponseWriter, exchange *exchange) bool {
 	table := forwarder.table.Load()
--- a/forwarder/groups.go
+++ b/forwarder/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -15,6 +16,9 @@
 	closedSpread = 300 * time.Millisecond
 )
 
+// untilOpen returns when a caller may return whose group is broken or stands still.
+func untilOpen() time.Duration { return closedRetryAfter + rand.N(closedSpread) }
+
 // groups are the states of the groups that serve services, as the agents beside their ranks tell them.
 type groups struct {
 	mutex sync.Mutex
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -43,18 +43,30 @@
 	firstAt      time.Time
 	lastAt       time.Time
 	longestPause time.Duration
+	// pulse hears of each event of the service's stream.
+	pulse   *pulse
+	service string
 }
 
 // note takes in when an event came.
 func (relay *relay) note(now time.Time) {
 	if relay.firstAt.IsZero() {
 		relay.firstAt = now
+		relay.pulse.begin(relay.service)
 	} else {
+		relay.pulse.beat(relay.service, now)
 		relay.longestPause = max(relay.longestPause, now.Sub(relay.lastAt))
 	}
 	relay.lastAt = now
 }
 
+// finish takes back what the stream had the pulse count.
+func (relay *relay) finish() {
+	if !relay.firstAt.IsZero() {
+		relay.pulse.end(relay.service)
+	}
+}
+
 // lateness returns why a complete stream came late, and nothing if it did not.
 func (relay *relay) lateness(exchange *exchange) string {
 	route := exchange.route
@@ -78,7 +90,10 @@
 		lastSeq: -1,
 		server:  state.server.ID,
 		load:    platform.ReadAnswer(answer.Response()).Load,
+		pulse:   &forwarder.pulse,
+		service: exchange.service,
 	}
+	defer relay.finish()
 	if number, err := strconv.ParseInt(exchange.facts.LastEventID, 10, 64); err == nil {
 		relay.lastSeq = number
 	}
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -496,3 +496,49 @@
 	// hearInterval is how often a controller tells of loads.
 	hearInterval = 75 * time.Millisecond
 )
+
+// TestGroupThatStandsStillTakesNoNewRequests lets streams begin and then bring nothing, as when ranks of their group stand still.
+func TestGroupThatStandsStillTakesNoNewRequests(t *testing.T) {
+	const streams = 3
+	goOn := make(chan struct{})
+	stage := newStage(t, func(exchange *scriptserver.Exchange) bool {
+		head := scriptserver.Head(exchange.Request.Header.Get("X-Attempt-Id"), 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+		io.WriteString(exchange, head+scriptserver.Event(1, "first"))
+		<-goOn
+		io.WriteString(exchange, scriptserver.Event(2, "last")+"0\r\n\r\n")
+		return true
+	})
+	stage.view.Deployment.Routes[2].PauseObjective = 10 * time.Millisecond
+	stage.view.Deployment.Routes[2].Timeout = time.Minute
+	stage.view.Deployment.Services[0].Engine = &cranberryward.EngineModel{}
+	stage.view.Deployment.Revision++
+	stage.forwarder.Configure(stage.view)
+	ask := func() *http.Response {
+		response, err := http.DefaultTransport.RoundTrip(stage.request(http.MethodPost, "/stream/", "question", "X-Deadline-Remaining-Ms: 60000"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	for range streams {
+		response := ask()
+		defer response.Body.Close()
+		if _, err := io.ReadFull(response.Body, make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// Until the pauses have passed, further requests are still sent; then one is refused.
+	refused := false
+	for begun := time.Now(); !refused && time.Since(begun) < 20*time.Second; {
+		response := ask()
+		defer response.Body.Close()
+		refused = response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+		if !refused {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	close(goOn)
+	if !refused {
+		t.Error("requests go on to a group that stands still")
+	}
+}
