--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -528,17 +528,20 @@
 		}
 	}
 	// Until the pauses have passed, further requests are still sent; then one is refused.
-	refused := false
-	for begun := time.Now(); !refused && time.Since(begun) < 20*time.Second; {
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	defer close(goOn)
+	deadline := time.After(20 * time.Second)
+	for {
+		select {
+		case <-deadline:
+			t.Fatal("requests go on to a group that stands still")
+		case <-ticker.C:
+		}
 		response := ask()
 		defer response.Body.Close()
-		refused = response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
-		if !refused {
-			time.Sleep(5 * time.Millisecond)
+		if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
+			return
 		}
 	}
-	close(goOn)
-	if !refused {
-		t.Error("requests go on to a group that stands still")
-	}
 }
--- a/relayer/changes.go
+++ b/relayer/changes.go
@@ -70,19 +70,19 @@
 }
 
 // complete returns the belief of a reply, with what was left out of it as the asker has it already, and none where the parts do not make that belief.
-func (reply FetchReply) complete(present *Belief) *Belief {
-	if reply.Belief == nil || present == nil && (reply.SameDeployment || reply.ChangesOnly) {
+func (fetchReply FetchReply) complete(present *Belief) *Belief {
+	if fetchReply.Belief == nil || present == nil && (fetchReply.SameDeployment || fetchReply.ChangesOnly) {
 		return nil
 	}
-	belief := *reply.Belief
-	if reply.SameDeployment {
+	belief := *fetchReply.Belief
+	if fetchReply.SameDeployment {
 		belief.Deployment = present.Deployment
 	}
-	if reply.ChangesOnly {
+	if fetchReply.ChangesOnly {
 		belief.Servers = map[string]cranberryward.BackendServer{}
 		maps.Copy(belief.Servers, present.Servers)
-		maps.Copy(belief.Servers, reply.Changed)
-		for id := range reply.Removed {
+		maps.Copy(belief.Servers, fetchReply.Changed)
+		for id := range fetchReply.Removed {
 			delete(belief.Servers, id)
 		}
 	}
