Let the standing group of the test bring nothing at all

Cause: the scripted group answered each further request with a first event, which is a sign of life and put the refusal off; the test passed only when 25 ms went by without one. Ruled out: the forwarder, which refused within 30 ms once nothing came. Now the group answers the first three streams only; the slots are unlimited, so a full server can't be taken for the refusal.

--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -497,51 +498,77 @@
 	hearInterval = 75 * time.Millisecond
 )
 
-// TestGroupThatStandsStillTakesNoNewRequests lets streams begin and then bring nothing, as when ranks of their group stand still.
+// TestGroupThatStandsStillTakesNoNewRequests lets streams begin and then brings nothing at all, as when ranks of their group stand still.
 func TestGroupThatStandsStillTakesNoNewRequests(t *testing.T) {
 	const streams = 3
 	goOn := make(chan struct{})
+	var asked atomic.Int64
 	stage := newStage(t, func(exchange *scriptserver.Exchange) bool {
 		head := scriptserver.Head(exchange.Request.Header.Get("X-Attempt-Id"), 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+		if asked.Add(1) > streams {
+			<-goOn // a first event would be a sign of life
+			return false
+		}
 		io.WriteString(exchange, head+scriptserver.Event(1, "first"))
 		<-goOn
-		io.WriteString(exchange, scriptserver.Event(2, "last")+"0\r\n\r\n")
-		return true
+		return false
 	})
 	stage.view.Deployment.Routes[2].PauseObjective = 10 * time.Millisecond
 	stage.view.Deployment.Routes[2].Timeout = time.Minute
 	stage.view.Deployment.Services[0].Engine = &cranberryward.EngineModel{}
 	stage.view.Deployment.Revision++
+	server := stage.view.Servers["i-0"]
+	server.Slots = 1 << 20 // what is refused is refused because the group stands still
+	stage.view.Servers["i-0"] = server
 	stage.forwarder.Configure(stage.view)
+	ctx, leave := context.WithCancel(context.Background())
 	ask := func() *http.Response {
-		response, err := http.DefaultTransport.RoundTrip(stage.request(http.MethodPost, "/stream/", "question", "X-Deadline-Remaining-Ms: 60000"))
+		request := stage.request(http.MethodPost, "/stream/", "question", "X-Deadline-Remaining-Ms: 60000")
+		response, err := http.DefaultTransport.RoundTrip(request.WithContext(ctx))
 		if err != nil {
-			t.Fatal(err)
+			return nil
 		}
 		return response
 	}
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer leave()
+	defer close(goOn)
 	for range streams {
 		response := ask()
+		if response == nil {
+			t.Fatal("a stream of a working group did not begin")
+		}
 		defer response.Body.Close()
 		if _, err := io.ReadFull(response.Body, make([]byte, 1)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	// Until the pauses have passed, further requests are still sent; then one is refused.
+	refused := make(chan struct{}, 1)
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
-	defer close(goOn)
-	deadline := time.After(20 * time.Second)
+	deadline := time.After(patience)
 	for {
 		select {
+		case <-refused:
+			return
 		case <-deadline:
 			t.Fatal("requests go on to a group that stands still")
 		case <-ticker.C:
 		}
-		response := ask()
-		defer response.Body.Close()
-		if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
-			return
-		}
+		callers.Go(func() {
+			response := ask()
+			if response == nil {
+				return
+			}
+			defer response.Body.Close()
+			if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
+				select {
+				case refused <- struct{}{}:
+				default:
+				}
+			}
+		})
 	}
 }
