Don't repeat a request that takes its backend servers down, at any entry

Now entries count what broke off under which request (workspace, method, host, path and body), tell each other, and repeat nothing that broke two off since it was last answered. The first send of each request still goes out: refusing it could be wrong, and a repeat is what the rule counts. Ruled out: counting without an answer taking it back, as a backend server that resets four in ten requests would make every popular look-up a suspect within a minute. A stream that stalled before it was cut is no crash of its own: another rank of its group was lost.

Both sends and resumptions now count the backend servers that may have run the request.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/quarantiner"
 )
 
 // exchange is one client attempt on its way, which only the entry that read it sends on.
@@ -25,6 +26,10 @@
 	sends     int
 	// mayHaveRun is whether some backend server may have run the request, which forbids refusing it as not run.
 	mayHaveRun bool
+	// ranAt are the backend servers that may have run it, of which the route allows only so many.
+	ranAt map[string]bool
+	// fingerprint is that of all requests like this one, computed when it is first needed.
+	fingerprint string
 }
 
 // ticket allows one send; it comes only from exchange.ticket, so a request that may have run and must not run twice has no second one.
@@ -47,9 +52,31 @@
 	return ticket.fresh
 }
 
-// learn takes over the verdict of a send.
-func (exchange *exchange) learn(verdict cranberryward.Verdict) {
-	if verdict != cranberryward.NotRun {
-		exchange.mayHaveRun = true
+// learn takes over the verdict of a send to a backend server.
+func (exchange *exchange) learn(server string, verdict cranberryward.Verdict) {
+	if verdict == cranberryward.NotRun {
+		return
 	}
+	exchange.mayHaveRun = true
+	if exchange.ranAt == nil {
+		exchange.ranAt = map[string]bool{}
+	}
+	exchange.ranAt[server] = true
+}
+
+// mayRunAt returns whether the route lets a backend server run the request beside those that may have.
+func (exchange *exchange) mayRunAt(server string) bool {
+	return exchange.ranAt[server] || len(exchange.ranAt) < max(exchange.route.AttemptLimit, 1)
+}
+
+// print returns the fingerprint of all requests of the workspace that are like this one.
+func (exchange *exchange) print() string {
+	if exchange.fingerprint == "" {
+		workspace := ""
+		if exchange.workspace != nil {
+			workspace = exchange.workspace.Name
+		}
+		exchange.fingerprint = quarantiner.Fingerprint(workspace, exchange.request.Method, exchange.request.Host, exchange.request.URL.RequestURI(), string(exchange.body))
+	}
+	return exchange.fingerprint
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/connector"
 	"github.com/cranberryward/cranberryward/platform"
+	"github.com/cranberryward/cranberryward/quarantiner"
 )
 
 const (
@@ -42,6 +43,7 @@
 	budget    budget
 	groups    groups
 	pulse     pulse
+	crashes   quarantiner.Crashes
 	stopping  atomic.Bool
 	// stopBy is the Unix nanosecond at which a stopping process ends.
 	stopBy   atomic.Int64
--- a/forwarder/pulse.go
+++ b/forwarder/pulse.go
@@ -52,5 +52,8 @@
 	if pause <= 0 || pulse.streams[service] < stillStreams {
 		return false
 	}
-	return time.Since(pulse.last[service]) > time.Duration(stillPauses*float64(pause))
+	return time.Since(pulse.last[service]) > stillTime(pause)
 }
+
+// stillTime is after which time without an event a stream counts as standing still.
+func stillTime(pause time.Duration) time.Duration { return time.Duration(stillPauses * float64(pause)) }
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -27,11 +27,13 @@
 			reason = "group_broken"
 			break
 		}
-		if exchange.sends > 0 && !forwarder.budget.repeat(exchange.service) {
-			reason = "retry_budget"
-			break
+		if exchange.sends > 0 {
+			if denied := forwarder.denyRepeat(exchange); denied != "" {
+				reason = denied
+				break
+			}
 		}
-		state := forwarder.servers.pick(exchange.service, exchange.tried)
+		state := forwarder.servers.pick(exchange.service, exchange.tried, nil)
 		if state == nil || exchange.tried[state.server.ID] && exchange.mayHaveRun {
 			if state != nil {
 				forwarder.servers.done(state, outcomeAbandoned)
@@ -39,7 +41,7 @@
 			reason = "no_backend_server"
 			break
 		}
-		if exchange.mayHaveRun && len(exchange.tried) >= max(exchange.route.AttemptLimit, 1) {
+		if !exchange.mayRunAt(state.server.ID) {
 			forwarder.servers.done(state, outcomeAbandoned)
 			reason = "attempt_limit"
 			break
@@ -70,8 +72,8 @@
 func (forwarder *Forwarder) attempt(writer http.ResponseWriter, exchange *exchange, state *serverState, ticket *ticket) (delivered bool, held *heldAnswer, reason string) {
 	answer, err := forwarder.send(exchange, state, exchange.use(ticket), exchange.facts.LastEventID)
 	if err != nil {
-		failure := cranberryward.FailureOf(err)
-		exchange.learn(failure.Verdict())
+		exchange.learn(state.server.ID, cranberryward.FailureOf(err).Verdict())
+		forwarder.noteCrash(exchange)
 		forwarder.servers.done(state, forwarder.blame(exchange))
 		return false, nil, "unreachable"
 	}
@@ -82,7 +84,7 @@
 		forwarder.servers.done(state, outcomeRefused)
 		return false, nil, "refused_by_backend_server"
 	}
-	exchange.learn(cranberryward.Ran)
+	exchange.learn(state.server.ID, cranberryward.Ran)
 	status := answer.Response().StatusCode
 	if status == http.StatusOK && exchange.route.Kind == cranberryward.Streaming && facts.Signed && !facts.Encoded {
 		return forwarder.stream(writer, exchange, state, answer), nil, "stream_broken"
@@ -90,6 +92,7 @@
 	body, err := answer.ReadAll(longestAnswer)
 	if err != nil {
 		answer.Abort()
+		forwarder.noteCrash(exchange)
 		forwarder.servers.done(state, forwarder.blame(exchange))
 		return false, nil, "answer_broken"
 	}
@@ -104,6 +107,7 @@
 		return false, whole, "backend_server_failed"
 	}
 	forwarder.servers.done(state, outcomeGood)
+	forwarder.clearCrashes(exchange)
 	whole.deliver(writer)
 	forwarder.lines.ended(exchange, status, "")
 	return true, nil, ""
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -133,14 +133,18 @@
 	return counts
 }
 
-// pick chooses a backend server of a service, counts a request at it and returns nil without one; one that was tried is a last resort.
-func (servers *servers) pick(service string, tried map[string]bool) *serverState {
+// pick chooses a backend server of a service among those allowed, all where that is nil, counts a request at it and returns nil without one;
+// one that was tried is a last resort.
+func (servers *servers) pick(service string, tried map[string]bool, allowed func(id string) bool) *serverState {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
 	now := time.Now()
 	var candidates []candidate
 	best := 0
 	for _, state := range servers.byName[service] {
+		if allowed != nil && !allowed(state.server.ID) {
+			continue
+		}
 		standing := state.standing(now, tried)
 		if standing == 0 && servers.unheard(state, now) {
 			standing = 1
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -60,6 +60,12 @@
 	relay.lastAt = now
 }
 
+// stalled returns whether the stream brought nothing for a while before it ended, as where another rank of its group was lost.
+func (relay *relay) stalled(exchange *exchange) bool {
+	pause := exchange.route.PauseObjective
+	return pause > 0 && !relay.lastAt.IsZero() && time.Since(relay.lastAt) > stillTime(pause)
+}
+
 // finish takes back what the stream had the pulse count.
 func (relay *relay) finish() {
 	if !relay.firstAt.IsZero() {
@@ -104,11 +110,15 @@
 			answer.Complete()
 			answer.Finish()
 			forwarder.servers.done(state, outcomeGood)
+			forwarder.clearCrashes(exchange)
 			forwarder.servers.lasted(exchange.service, time.Since(exchange.arrived))
 			forwarder.lines.streamed(exchange, relay)
 			return true
 		}
 		answer.Abort()
+		if !relay.stalled(exchange) {
+			forwarder.noteCrash(exchange)
+		}
 		forwarder.servers.done(state, forwarder.blame(exchange))
 		if !relay.started {
 			return false
@@ -133,26 +143,30 @@
 			return nil, nil
 		}
 		ticket := exchange.ticket()
-		if ticket == nil || !forwarder.budget.repeat(exchange.service) {
+		if ticket == nil || forwarder.denyRepeat(exchange) != "" {
 			return nil, nil
 		}
-		state := forwarder.servers.pick(exchange.service, exchange.tried)
+		state := forwarder.servers.pick(exchange.service, exchange.tried, exchange.mayRunAt)
 		if state == nil {
 			return nil, nil
 		}
 		exchange.tried[state.server.ID] = true
 		answer, err := forwarder.send(exchange, state, exchange.use(ticket), relay.lastID)
 		if err != nil {
+			exchange.learn(state.server.ID, cranberryward.FailureOf(err).Verdict())
+			forwarder.noteCrash(exchange)
 			forwarder.servers.done(state, forwarder.blame(exchange))
 			continue
 		}
 		facts := platform.ReadAnswer(answer.Response())
 		if answer.Response().StatusCode == http.StatusOK && facts.Signed && !facts.Encoded {
+			exchange.learn(state.server.ID, cranberryward.Ran)
 			return state, answer
 		}
-		outcome := outcomeFailed
-		if facts.NotRun {
-			outcome = outcomeRefused
+		outcome := outcomeRefused
+		if !facts.NotRun {
+			outcome = outcomeFailed
+			exchange.learn(state.server.ID, cranberryward.Ran)
 		}
 		forwarder.discardBody(answer)
 		forwarder.servers.done(state, outcome)
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -81,18 +81,19 @@
 	}
 	entry.server = server
 	entry.relayer, err = relayer.New(relayer.Options{
-		Instance:   settings.Instance,
-		Zone:       settings.Zone,
-		Address:    settings.PeerAddress(),
-		Entry:      true,
-		Seeds:      settings.SeedPeers(),
-		Refresh:    refresh,
-		Neighbours: agent.Neighbours(settings),
-		Changed:    entry.take,
-		Running:    entry.forwarder.Running,
-		Heard:      entry.hear,
-		HeardBusy:  entry.forwarder.HearBusy,
-		Logger:     logger,
+		Instance:     settings.Instance,
+		Zone:         settings.Zone,
+		Address:      settings.PeerAddress(),
+		Entry:        true,
+		Seeds:        settings.SeedPeers(),
+		Refresh:      refresh,
+		Neighbours:   agent.Neighbours(settings),
+		Changed:      entry.take,
+		Running:      entry.forwarder.Running,
+		Heard:        entry.hear,
+		HeardBusy:    entry.forwarder.HearBusy,
+		HeardCrashed: entry.forwarder.HearCrashes,
+		Logger:       logger,
 	}, platform.NewStore(settings.Store), entry.calls)
 	if err != nil {
 		return nil, err
@@ -194,6 +195,9 @@
 		}
 		entry.mostSeen.Store(max(entries, entry.mostSeen.Load()))
 		entry.forwarder.Share(others)
+		if crashed := entry.forwarder.Crashes(); len(crashed) > 0 {
+			entry.relayer.TellCrashed(crashed)
+		}
 		entry.forwarder.Sweep()
 	}
 }
--- a/relayer/busy.go
+++ b/relayer/busy.go
@@ -4,16 +4,7 @@
 
 // TellBusy tells the entries how many requests each backend server of a service has, and at most how many each should have, zero if that is not known.
 func (relayer *Relayer) TellBusy(service string, busy map[string]int, limit int) {
-	relayer.mutex.Lock()
-	belief := relayer.belief
-	var entries []string
-	now, expiry := time.Now(), relayer.expiry()
-	for address, peer := range relayer.peers {
-		if peer.notice.Entry && now.Sub(peer.heard) < expiry {
-			entries = append(entries, address)
-		}
-	}
-	relayer.mutex.Unlock()
+	belief, _ := relayer.Belief()
 	if belief == nil {
 		return
 	}
@@ -32,7 +23,21 @@
 		}
 		notice.Busy.Counts = append(notice.Busy.Counts, byte(min(count, unknownCount)))
 	}
-	relayer.send(notice, entries)
+	relayer.send(notice, relayer.entries())
+}
+
+// entries returns the addresses of the entries that are heard from.
+func (relayer *Relayer) entries() []string {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	var entries []string
+	now, expiry := time.Now(), relayer.expiry()
+	for address, peer := range relayer.peers {
+		if peer.notice.Entry && now.Sub(peer.heard) < expiry {
+			entries = append(entries, address)
+		}
+	}
+	return entries
 }
 
 // busyByID returns the counts of a notice by the ids of the backend servers, and nothing where it speaks of other ones than are known here.
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -29,6 +29,8 @@
 	Running map[string]int `json:"running,omitempty"`
 	// Group is the state of the group of the rank beside this agent.
 	Group *GroupState `json:"group,omitempty"`
+	// Crashed counts the backend servers that each of a few requests, by fingerprint, took down at this entry of late.
+	Crashed map[string]int `json:"crashed,omitempty"`
 	// Busy is the load of the backend servers of a service.
 	Busy *Busy `json:"busy,omitempty"`
 }
--- a/relayer/message_options.go
+++ b/relayer/message_options.go
@@ -23,6 +23,8 @@
 	Running func() map[string]int
 	// HeardBusy is called with the load of a service's backend servers, by id, that a group's controller tells of, and with its limit for each.
 	HeardBusy func(service string, busy map[string]int, limit int)
+	// HeardCrashed is called with the requests that took down backend servers at the entry with the given address.
+	HeardCrashed func(from string, crashed map[string]int)
 	// Heard is called with each notice of a peer.
 	Heard  func(notice Notice)
 	Logger log.Logger
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -56,6 +56,12 @@
 			}
 			continue
 		}
+		if notice.Crashed != nil {
+			if relayer.options.HeardCrashed != nil {
+				relayer.options.HeardCrashed(notice.From, notice.Crashed)
+			}
+			continue
+		}
 		relayer.hear(notice)
 		if relayer.options.Heard != nil {
 			relayer.options.Heard(notice)
