--- a/steward/steward.go
+++ b/steward/steward.go
@@ -144,6 +144,7 @@
 	if saved < worthwhile {
 		return nil
 	}
+	_ = level.Info(steward.logger).Log("event", "map_planned", "copies", copies, "skew", steward.meanSkew(steward.placement, engine), "planned_skew", steward.meanSkew(next, engine))
 	return steward.change(ctx, next, copies, engine)
 }
 
@@ -184,6 +185,16 @@
 	return next, copies, (before - after) / before
 }
 
+// meanSkew returns the time of the slowest rank over the mean under the present demand, averaged over all sets.
+func (steward *Steward) meanSkew(placement [][][]int, engine *cranberryward.EngineModel) float64 {
+	increment := planner.Increment{Paces: steward.paces()}
+	sum := 0.0
+	for set := range placement {
+		sum += increment.Skew(placement[set], steward.demand.set(set, engine.Experts))
+	}
+	return math.Round(100*sum/float64(max(len(placement), 1))) / 100
+}
+
 // copiesPerRank returns how many experts, of all sets together, one rank copies for a change. A rank copies them one after the other while
 // the whole group waits for the map, so many ranks with a copy each are far faster than one with many.
 func (steward *Steward) copiesPerRank(engine *cranberryward.EngineModel) int {
