--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -11,6 +11,13 @@
 	"github.com/go-kit/log/level"
 )
 
+const (
+	// countsLinkShare is the part of the instance's link that counts may take; maps, observations and beliefs need the rest.
+	countsLinkShare = 0.3
+	// bytesPerCount is what a count takes on the way as a difference: nearly all are under 64, which is one byte.
+	bytesPerCount = 1
+)
+
 // Members returns the ranks that are registered now.
 func (agent *Agent) Members() []steward.Member {
 	belief, _ := agent.relayer.Belief()
@@ -96,6 +103,11 @@
 	return service.Engine
 }
 
+// CountsRate returns how many counts may be read in a second over the link of this instance.
+func (agent *Agent) CountsRate() float64 {
+	return agent.settings.LinkMbps * 1e6 / 8 * countsLinkShare / bytesPerCount
+}
+
 // PauseObjective returns the shortest pause objective of the routes to the group's service.
 func (agent *Agent) PauseObjective() time.Duration {
 	belief, _ := agent.relayer.Belief()
--- a/gateway/agent/steward_test.go
+++ b/gateway/agent/steward_test.go
@@ -124,6 +124,8 @@
 }
 
 // Members returns the ranks.
+func (bench *bench) CountsRate() float64 { return 0 }
+
 func (bench *bench) Members() []steward.Member { return bench.members }
 
 // PauseObjective is that of a group under pressure.
--- a/gateway/settings/message_settings.go
+++ b/gateway/settings/message_settings.go
@@ -15,6 +15,7 @@
 	Service             string   `json:"service"`
 	MemoryMB            int64    `json:"memory_mb"`
 	Descriptors         int      `json:"descriptors"`
+	LinkMbps            float64  `json:"link_mbps"`
 	Store               string   `json:"store"`
 	StoreMinimumLeaseMS int64    `json:"store_minimum_lease_ms"`
 	DrainMS             int64    `json:"drain_ms"`
--- a/steward/observe.go
+++ b/steward/observe.go
@@ -14,6 +14,10 @@
 // observe asks all members at once and keeps the group if all of its ranks answered in one epoch.
 func (steward *Steward) observe(ctx context.Context, counts bool) error {
 	members := steward.group.Members()
+	var sampled map[string]bool
+	if counts {
+		sampled = steward.sampler.choose(time.Now(), members, steward.countsPerRank(), steward.group.CountsRate())
+	}
 	observations := make([]Observation, len(members))
 	failures := make([]error, len(members))
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
@@ -23,7 +27,7 @@
 		wait.Go(func() {
 			observations[i], failures[i] = member.Hands.Observe(ctx, Question{
 				Term:   steward.term,
-				Counts: counts && steward.sampled(i, len(members)),
+				Counts: sampled[member.ID],
 			})
 		})
 	}
@@ -64,9 +68,13 @@
 	steward.group.Observed(reports, steward.passTime)
 }
 
-// sampled returns whether a member is one of those whose counts are read, which are spread evenly.
-func (steward *Steward) sampled(index, size int) bool {
-	return size <= sampledRanks || index*sampledRanks/size != (index+1)*sampledRanks/size
+// countsPerRank returns how many counts a rank has.
+func (steward *Steward) countsPerRank() int {
+	engine := steward.group.Engine()
+	if engine == nil {
+		return 0
+	}
+	return engine.Sets * engine.Experts
 }
 
 // whole returns the ranks in their order if they are one open group, and nothing otherwise.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -18,8 +18,8 @@
 const (
 	// observeInterval is how often the ranks are observed; demand shifts within seconds and the reaction should stay well under one.
 	observeInterval = 50 * time.Millisecond
-	// sampledRanks is of how many ranks the counts are read: their requests show the demand of all, and the cost does not grow with the group.
-	sampledRanks = 16
+	// steadyRanks is up to how many ranks a group is observed at each interval; the interval of larger ones grows with the cost of a round.
+	steadyRanks = 16
 	// observeTimeout bounds one observation of a rank's own instance.
 	observeTimeout = 400 * time.Millisecond
 	// leastDemand is the number of choices below which the estimate is noise: a few per expert.
@@ -46,6 +46,8 @@
 	Engine() *cranberryward.EngineModel
 	// PauseObjective returns the longest pause between events that is still on time, and zero where none is configured.
 	PauseObjective() time.Duration
+	// CountsRate returns how many counts may be read in a second, and zero without a bound.
+	CountsRate() float64
 	// Observed is called with the reports of the ranks that answered, by the ids of their backend servers, after each observation, and with
 	// how long passes take, zero where that is not known.
 	Observed(reports map[string]cranberryward.RankReport, pass time.Duration)
@@ -58,6 +60,7 @@
 	logger log.Logger
 
 	demand    demand
+	sampler   sampler
 	ranks     []rank
 	epoch     uint64
 	placement [][][]int
@@ -115,7 +118,7 @@
 
 // interval returns the pause between observations, which grows with the root of the group's size: twice the pause for four times the ranks.
 func (steward *Steward) interval() time.Duration {
-	growth := math.Sqrt(float64(len(steward.ranks)) / sampledRanks)
+	growth := math.Sqrt(float64(len(steward.ranks)) / steadyRanks)
 	return time.Duration(float64(observeInterval) * max(growth, 1))
 }
 
