--- a/gateway/agent/counts.go
+++ b/gateway/agent/counts.go
@@ -1,8 +1,12 @@
 package agent
 
-import "sync"
+import (
+	"sync"
 
-// toldCounts are the counts that an agent told last, so that the next time it need only tell what came since. Its zero value is ready.
+	"github.com/rotisserie/eris"
+)
+
+// toldCounts are the counts as an agent told them last, so that the next time it need only tell what came since. Its zero value is ready.
 type toldCounts struct {
 	mutex  sync.Mutex
 	number uint64
@@ -10,21 +14,26 @@
 	counts []int64
 }
 
-// tell returns what to tell an asker who has the counts of a number, by which number it has them then, and whether they are those since.
-func (toldCounts *toldCounts) tell(counts []int64, born int64, after uint64) (told []int64, number uint64, since bool) {
+// tell puts into a reply what to tell an asker who has the counts of a number; what rounding leaves out is told the next time.
+func (toldCounts *toldCounts) tell(reply *ObserveReply, counts []int64, born int64, after uint64) {
 	toldCounts.mutex.Lock()
 	defer toldCounts.mutex.Unlock()
-	since = after != 0 && after == toldCounts.number && born == toldCounts.born && len(counts) == len(toldCounts.counts)
-	told = counts
-	if since {
-		told = make([]int64, len(counts))
-		for i, count := range counts {
-			told[i] = count - toldCounts.counts[i]
-		}
+	reply.CountsSince = after != 0 && after == toldCounts.number && born == toldCounts.born && len(counts) == len(toldCounts.counts)
+	if !reply.CountsSince {
+		toldCounts.counts = make([]int64, len(counts))
+	}
+	untold := make([]int64, len(counts))
+	for i, count := range counts {
+		untold[i] = count - toldCounts.counts[i]
+	}
+	var told []int64
+	reply.CountsPacked, reply.CountsUnit, told = packCounts(untold)
+	for i := range told {
+		toldCounts.counts[i] += told[i]
 	}
 	toldCounts.number++
-	toldCounts.counts, toldCounts.born = counts, born
-	return told, toldCounts.number, since
+	toldCounts.born = born
+	reply.CountsNumber = toldCounts.number
 }
 
 // heardCounts are the counts that a controller has of one rank. Its zero value is ready.
@@ -42,17 +51,23 @@
 	return heardCounts.number
 }
 
-// hear takes over what an agent told and returns the counts since the rank's start.
-func (heardCounts *heardCounts) hear(reply ObserveReply) []int64 {
-	counts := reply.Observation.Counts
+// hear takes over what an agent told and returns the counts since the rank's start; what can't be read is asked for whole the next time.
+func (heardCounts *heardCounts) hear(reply ObserveReply) ([]int64, error) {
+	counts, err := unpackCounts(reply.CountsPacked, reply.CountsUnit)
+	if err == nil && reply.CountsSince && len(counts) != len(heardCounts.counts) {
+		err = eris.Errorf("%d counts were told where %d are known", len(counts), len(heardCounts.counts))
+	}
+	if err != nil {
+		heardCounts.forget()
+		return nil, err
+	}
 	if reply.CountsSince {
-		counts = make([]int64, len(heardCounts.counts))
 		for i, count := range heardCounts.counts {
-			counts[i] = count + reply.Observation.Counts[i]
+			counts[i] += count
 		}
 	}
 	heardCounts.life, heardCounts.number, heardCounts.counts = reply.Life, reply.CountsNumber, counts
-	return counts
+	return counts, nil
 }
 
 // forget lets the agent tell the whole counts next time, as a reply may have been lost.
--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -14,8 +14,8 @@
 const (
 	// countsLinkShare is the part of the instance's link that counts may take; maps, observations and beliefs need the rest.
 	countsLinkShare = 0.3
-	// bytesPerCount is what a count takes on the way as a difference: nearly all are under 64, which is one byte.
-	bytesPerCount = 1
+	// bytesPerCount is what a count takes on the way, packed: about three bits.
+	bytesPerCount = 0.375
 )
 
 // Members returns the ranks that are registered now.
--- a/gateway/agent/hands.go
+++ b/gateway/agent/hands.go
@@ -35,7 +35,7 @@
 	hands.mutex.Unlock()
 	err := hands.calls.Call(ctx, hands.agent, "Rank.Observe", request, &reply)
 	if err == nil {
-		return hands.hear(reply), nil
+		return hands.hear(reply)
 	}
 	hands.mutex.Lock()
 	hands.heard.forget()
@@ -50,14 +50,15 @@
 }
 
 // hear takes over the life of the agent and the counts, and returns the observation with the counts since the rank's start.
-func (hands *hands) hear(reply ObserveReply) steward.Observation {
+func (hands *hands) hear(reply ObserveReply) (steward.Observation, error) {
 	hands.mutex.Lock()
 	defer hands.mutex.Unlock()
 	hands.life = reply.Life
+	var err error
 	if reply.CountsNumber != 0 {
-		reply.Observation.Counts = hands.heard.hear(reply)
+		reply.Observation.Counts, err = hands.heard.hear(reply)
 	}
-	return reply.Observation
+	return reply.Observation, err
 }
 
 // Order gives the rank an order; of a map only what differs from the last one is sent, as whole maps fill thin links.
@@ -94,7 +95,7 @@
 		Order: order,
 	}
 	if order.Kind == cranberryward.RankPrepare && hands.sentVersion != 0 && len(hands.sent) == len(order.Map) {
-		request.Base, request.Changes = hands.sentVersion, mapChanges(hands.sent, order.Map)
+		request.Base, request.Changes = hands.sentVersion, packChanges(mapChanges(hands.sent, order.Map))
 		request.Order.Map = nil
 	}
 	return request
--- a/gateway/agent/message_rank.go
+++ b/gateway/agent/message_rank.go
@@ -18,8 +18,11 @@
 	Life        uint64
 	// CountsNumber names the counts, and is zero where none were asked for.
 	CountsNumber uint64
-	// CountsSince means that the counts are those since the ones that the asker has; they are small numbers, which take few bytes.
+	// CountsSince means that the counts are those since the ones that the asker has.
 	CountsSince bool
+	// CountsPacked are the counts in multiples of CountsUnit; they are not in the observation.
+	CountsPacked []byte
+	CountsUnit   int64
 }
 
 // OrderRequest asks an agent to give its rank an order, in the life in which the agent learned the term.
@@ -28,8 +31,9 @@
 	Life  uint64
 	Order cranberryward.RankOrder
 	// Base is the version of the map from which the order's map differs by Changes; without one the order holds the whole map.
-	Base    uint64
-	Changes []MapChange
+	Base uint64
+	// Changes are packed as packChanges does.
+	Changes []byte
 }
 
 // MapChange is the experts of a rank in one set where two maps differ.
--- /dev/null
+++ b/gateway/agent/packing_test.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestCountsArePacked packs counts of a busy rank: nothing may be lost for good, and a count may take few bits only.
+func TestCountsArePacked(t *testing.T) {
+	const experts = 12 * 144
+	random := rand.New(rand.NewPCG(1, 2))
+	counts, heard := make([]int64, experts), make([]int64, experts)
+	for range 50 {
+		for i := range counts {
+			counts[i] += random.Int64N(int64(20 + i%40))
+		}
+		since := make([]int64, experts)
+		for i := range counts {
+			since[i] = counts[i] - heard[i]
+		}
+		packed, unit, told := packCounts(since)
+		unpacked, err := unpackCounts(packed, unit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if difference := cmp.Diff(told, unpacked); difference != "" {
+			t.Fatalf("what was told is not what was heard: %s", difference)
+		}
+		if len(packed) > experts/2 {
+			t.Errorf("%d counts take %d bytes, expected four bits each or fewer", experts, len(packed))
+		}
+		for i := range heard {
+			heard[i] += unpacked[i]
+			if left := counts[i] - heard[i]; left < 0 || left >= unit {
+				t.Fatalf("%d of count %d are left to tell, expected less than the unit %d", left, i, unit)
+			}
+		}
+	}
+}
+
+func TestPackedChangesAreTheSame(t *testing.T) {
+	for name, changes := range map[string][]MapChange{
+		"none": nil,
+		"one":  {{Set: 1, Rank: 2, Experts: []int{3, 4, 500}}},
+		"two":  {{Rank: 300, Experts: []int{0}}, {Set: 59, Rank: 1, Experts: []int{1 << 20}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			unpacked, err := unpackChanges(packChanges(changes))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if difference := cmp.Diff(changes, unpacked); difference != "" {
+				t.Error(difference)
+			}
+		})
+	}
+}
+
+// FuzzUnpack reads what any peer may have sent.
+func FuzzUnpack(f *testing.F) {
+	f.Add(packChanges([]MapChange{{Set: 1, Rank: 2, Experts: []int{3, 4, 500}}}))
+	f.Add(squeeze([]byte{1, 2, 200}))
+	f.Add([]byte("no packed message"))
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		if changes, err := unpackChanges(packed); err == nil {
+			if again, err := unpackChanges(packChanges(changes)); err != nil || !cmp.Equal(changes, again) {
+				t.Errorf("%v became %v, %v", changes, again, err)
+			}
+		}
+		if counts, err := unpackCounts(packed, 3); err == nil && len(counts) > longestUnpacked {
+			t.Errorf("%d counts of a message", len(counts))
+		}
+	})
+}
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -64,7 +64,8 @@
 	rankService.noteSeen(observation.Report)
 	observation.Fresh = true
 	if len(observation.Counts) > 0 {
-		observation.Counts, reply.CountsNumber, reply.CountsSince = rankService.told.tell(observation.Counts, observation.Report.Born, request.CountsAfter)
+		rankService.told.tell(reply, observation.Counts, observation.Report.Born, request.CountsAfter)
+		observation.Counts = nil
 	}
 	reply.Observation, reply.Life = observation, rankService.life
 	return nil
@@ -104,7 +105,11 @@
 		if request.Base != rankService.knownVersion {
 			return order, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the map that the order builds on is not known here")
 		}
-		order.Map = applyChanges(rankService.known, request.Changes)
+		changes, err := unpackChanges(request.Changes)
+		if err != nil {
+			return order, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the changes of the map cannot be read").WithCause(err)
+		}
+		order.Map = applyChanges(rankService.known, changes)
 	}
 	rankService.known, rankService.knownVersion = order.Map, order.Version
 	return order, nil
