--- /dev/null
+++ b/gateway/soaker/process_test.go
@@ -0,0 +1,115 @@
+package soaker
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cranberryward/cranberryward/gateway/settings"
+	"github.com/cranberryward/cranberryward/standin/faulter"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "soaker")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(directory, "gateway")
+	if output, err := exec.Command("go", "build", "-o", binary, "github.com/cranberryward/cranberryward/gateway").CombinedOutput(); err != nil {
+		panic(string(output))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// process is an entry or an agent, with the proxy between it and the store.
+type process struct {
+	t        *testing.T
+	role     string
+	settings settings.Settings
+	store    *faulter.Proxy
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	// outputs are what each life wrote.
+	outputs []*bytes.Buffer
+}
+
+// start begins a life of the process.
+func (process *process) start() {
+	process.t.Helper()
+	path := filepath.Join(process.t.TempDir(), process.settings.Instance+".json")
+	text, err := json.Marshal(process.settings)
+	if err != nil {
+		process.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		process.t.Fatal(err)
+	}
+	command := exec.Command(binary, process.role)
+	command.Env = append(os.Environ(), settings.Variable+"="+path)
+	output := &bytes.Buffer{}
+	command.Stdout, command.Stderr = output, output
+	if err := command.Start(); err != nil {
+		process.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	process.mutex.Lock()
+	process.command, process.exited = command, exited
+	process.outputs = append(process.outputs, output)
+	process.mutex.Unlock()
+	go func() {
+		_ = command.Wait() // how it ended is seen from outside
+		close(exited)
+	}()
+}
+
+func (process *process) signal(signal syscall.Signal) {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	_ = process.command.Process.Signal(signal) // a process that has ended takes none
+}
+
+// end sends a signal that ends the process and waits for that.
+func (process *process) end(signal syscall.Signal) {
+	process.signal(signal)
+	process.mutex.Lock()
+	exited := process.exited
+	process.mutex.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(patience):
+		process.t.Errorf("%s did not end by %s", process.settings.Instance, signal)
+		process.signal(syscall.SIGKILL)
+	}
+}
+
+var versionTold = regexp.MustCompile(`event=belief_changed .*configuration=(\d+)`)
+
+// regressions returns the lives in which the process went back to an earlier configuration; it must have ended.
+func (process *process) regressions() (lives []string) {
+	for _, output := range process.outputs {
+		highest := 0
+		for _, match := range versionTold.FindAllStringSubmatch(output.String(), -1) {
+			version, err := strconv.Atoi(match[1])
+			if err != nil || version < highest {
+				lives = append(lives, match[0])
+			}
+			highest = version
+		}
+	}
+	return lives
+}
