Take back observing a group while its new map comes into force

Tried: counts read while the armed map waits for its pass, so that the next change begins at the switch.

--- a/steward/change.go
+++ b/steward/change.go
@@ -47,7 +47,7 @@
 		return eris.Wrap(err, "prepare a map")
 	}
 	prepared := time.Now()
-	step := highestStep(steward.ranks) + steward.lead
+	step := steward.highestStep() + steward.lead
 	holder := rand.IntN(len(steward.ranks))
 	hold := cranberryward.RankOrder{
 		Kind: cranberryward.RankHold,
@@ -180,32 +180,18 @@
 	return err
 }
 
-// awaitSwitch waits until the ranks run a map, as nothing can be prepared on an armed rank; an idle group may take longer. Meanwhile it
-// observes the group, so that the next change can begin at once.
+// awaitSwitch waits until the ranks run a map, as nothing can be prepared on an armed rank; an idle group may take longer.
 func (steward *Steward) awaitSwitch(ctx context.Context, version uint64) error {
-	due := time.Now().Add(min(max(time.Duration(steward.lead)*steward.passTime/2, copyPoll), switchPatience))
-	ranks, err := steward.ask(ctx, true)
-	if eris.Is(err, ErrTermEnded) {
-		return err
-	}
-	steward.learnPace(time.Now(), ranks)
-	if err := sleep(ctx, time.Until(due)); err != nil {
+	if err := sleep(ctx, min(max(time.Duration(steward.lead)*steward.passTime/2, copyPoll), switchPatience)); err != nil {
 		return err
 	}
 	// All ranks switch at the same pass, so one of them speaks for all.
 	first := steward.ranks[:1]
 	for deadline := time.Now().Add(switchPatience); time.Now().Before(deadline); {
 		observation, err := first[0].hands.Observe(ctx, Question{Term: steward.term})
-		if err != nil || observation.Report.Epoch != steward.epoch {
+		if err != nil || observation.Report.Epoch != steward.epoch || observation.Report.Map == version {
 			return err
 		}
-		if observation.Report.Map == version {
-			steward.observed = steward.goesOn(ranks)
-			for i := range steward.ranks {
-				steward.ranks[i].observed.Report.Map = version
-			}
-			return nil
-		}
 		if err := sleep(ctx, copyPoll); err != nil {
 			return err
 		}
@@ -213,18 +199,6 @@
 	return nil
 }
 
-// goesOn returns whether the ranks, asked while a map came into force, are those of the present group and none of them is held. Whether they
-// are armed says nothing at that moment, as some were asked before the switch and some after it.
-func (steward *Steward) goesOn(ranks []rank) bool {
-	if len(ranks) != len(steward.ranks) {
-		return false
-	}
-	return !slices.ContainsFunc(ranks, func(rank rank) bool {
-		report := rank.observed.Report
-		return report.Epoch != steward.epoch || !report.Open || report.Held != 0
-	})
-}
-
 // orderAll gives an order to all ranks at once and returns an error unless each has carried it out.
 func (steward *Steward) orderAll(ctx context.Context, order cranberryward.RankOrder, done func(cranberryward.RankReport) bool) error {
 	failures := make([]error, len(steward.ranks))
--- a/steward/observe.go
+++ b/steward/observe.go
@@ -11,22 +11,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// observe asks all members and keeps the group if all of its ranks answered in one epoch.
+// observe asks all members at once and keeps the group if all of its ranks answered in one epoch.
 func (steward *Steward) observe(ctx context.Context, counts bool) error {
-	ranks, lost := steward.ask(ctx, counts)
-	if eris.Is(lost, ErrTermEnded) {
-		return lost
-	}
-	steward.ranks = steward.whole(ranks)
-	if len(steward.ranks) == 0 && lost != nil {
-		return lost
-	}
-	steward.learnPace(time.Now(), steward.ranks)
-	return nil
-}
-
-// ask asks all members at once and returns those that answered, with the last failure; demand and the group's owner learn of their answers.
-func (steward *Steward) ask(ctx context.Context, counts bool) ([]rank, error) {
 	members := steward.group.Members()
 	var sampled map[string]bool
 	if counts {
@@ -52,7 +38,7 @@
 	var lost error
 	for i, member := range members {
 		if eris.Is(failures[i], ErrTermEnded) {
-			return nil, failures[i]
+			return failures[i]
 		}
 		if failures[i] != nil {
 			lost = eris.Wrapf(failures[i], "observe %s", member.ID)
@@ -66,7 +52,12 @@
 		})
 	}
 	steward.tell(ranks)
-	return ranks, lost
+	steward.ranks = steward.whole(ranks)
+	if len(steward.ranks) == 0 && lost != nil {
+		return lost
+	}
+	steward.learnPace(now)
+	return nil
 }
 
 func (steward *Steward) tell(ranks []rank) {
@@ -117,11 +108,11 @@
 }
 
 // learnPace estimates how long a pass takes from how far the group has come.
-func (steward *Steward) learnPace(now time.Time, ranks []rank) {
-	if len(ranks) == 0 {
+func (steward *Steward) learnPace(now time.Time) {
+	if len(steward.ranks) == 0 {
 		return
 	}
-	step := highestStep(ranks)
+	step := steward.highestStep()
 	if step > steward.lastStep && !steward.lastSeen.IsZero() {
 		sample := now.Sub(steward.lastSeen) / time.Duration(step-steward.lastStep)
 		if steward.passTime == 0 {
@@ -135,9 +126,9 @@
 	}
 }
 
-func highestStep(ranks []rank) uint64 {
+func (steward *Steward) highestStep() uint64 {
 	highest := uint64(0)
-	for _, rank := range ranks {
+	for _, rank := range steward.ranks {
 		highest = max(highest, rank.observed.Report.Step)
 	}
 	return highest
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -71,8 +71,6 @@
 	lastStep  uint64
 	lastSeen  time.Time
 	changes   int
-	// observed is whether the group was observed while the last map came into force, so that the next change need not wait for it.
-	observed bool
 }
 
 // rank is one rank of the whole group with its last observation.
@@ -126,18 +124,14 @@
 
 // round observes the group, frees what is held or armed without need, and changes the map where that pays.
 func (steward *Steward) round(ctx context.Context) error {
-	observed := steward.observed
-	steward.observed = false
-	if !observed {
-		if err := steward.observe(ctx, true); err != nil {
-			return err
-		}
-		if len(steward.ranks) == 0 {
-			return nil
-		}
-		if steward.unsettled() {
-			return steward.settle(ctx)
-		}
+	if err := steward.observe(ctx, true); err != nil {
+		return err
+	}
+	if len(steward.ranks) == 0 {
+		return nil
+	}
+	if steward.unsettled() {
+		return steward.settle(ctx)
 	}
 	engine := steward.group.Engine()
 	if engine == nil || engine.Sets == 0 || steward.armedRanks() > 0 {
