--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,4 @@
 
 soak:
 	go test -count=1 -timeout 60m -v -run TestSoak ./cranberryward/prover -seed $(SEED) -rounds $(ROUNDS) -soak-seconds $(SECONDS)
+	SOAK_SEED=$(SEED) SOAK_ROUNDS=$(ROUNDS) go test -count=1 -timeout 60m -v -run TestSoak ./gateway/soaker
--- a/cranberryward/prover/quiet_test.go
+++ b/cranberryward/prover/quiet_test.go
@@ -77,14 +77,19 @@
 	}
 }
 
-func TestWindowThatOpensStopsAChangeUnderWay(t *testing.T) {
-	fleet := newFleet(t, fleetOptions{
+// newChangingFleet starts one group of three ranks whose map changes soon after its demand does.
+func newChangingFleet(t *testing.T, entries int) *fleet {
+	return newFleet(t, fleetOptions{
 		zones:          1,
-		entriesPerZone: 2,
+		entriesPerZone: entries,
 		ranksPerZone:   3,
 		entryFlags:     quickChanges,
-		agentFlags:     []string{"--clock-error", "100ms", "--hold-bound", "500ms"},
+		agentFlags:     []string{"--hold-bound", "500ms", "--clock-error", "100ms"},
 	})
+}
+
+func TestWindowThatOpensStopsAChangeUnderWay(t *testing.T) {
+	fleet := newChangingFleet(t, 2)
 	before := fleet.awaitVersion(0, 1)
 	fleet.setFaults(fleet.weights, weightserver.Faults{Outage: true})
 	prepared := func() (orders int) {
@@ -133,13 +138,7 @@
 }
 
 func TestStepsRunOneMapThroughProcessFaults(t *testing.T) {
-	fleet := newFleet(t, fleetOptions{
-		zones:          1,
-		entriesPerZone: 2,
-		ranksPerZone:   3,
-		entryFlags:     quickChanges,
-		agentFlags:     []string{"--hold-bound", "500ms", "--clock-error", "100ms"},
-	})
+	fleet := newChangingFleet(t, 2)
 	gate := fleet.engines[0]
 	cases := []struct {
 		name  string
@@ -251,13 +250,7 @@
 
 // TestChangeEndsWhenARankRestartsWhileItPrepares restarts a rank that has taken its order and cannot load its weights yet.
 func TestChangeEndsWhenARankRestartsWhileItPrepares(t *testing.T) {
-	fleet := newFleet(t, fleetOptions{
-		zones:          1,
-		entriesPerZone: 1,
-		ranksPerZone:   3,
-		entryFlags:     quickChanges,
-		agentFlags:     []string{"--hold-bound", "500ms", "--clock-error", "100ms"},
-	})
+	fleet := newChangingFleet(t, 1)
 	before := fleet.awaitVersion(0, 1)
 	restarted := fleet.engines[1]
 	fleet.setFaults(fleet.weights, weightserver.Faults{Outage: true})
