Ask a failing store less often

Cause: each failed read was two calls, as all was asked for where the changes were refused, and each process tried again after 0.2 to 1.2 s by itself. Ruled out: the renewal of leases and campaigns (under ten calls in that time). One that hears nobody tries as before.

--- a/gateway/agent/relay_test.go
+++ b/gateway/agent/relay_test.go
@@ -206,6 +206,33 @@
 	}
 }
 
+// TestFailedReadIsOneCall lets the store refuse everything: a process that knows a belief need not ask for all of it too.
+func TestFailedReadIsOneCall(t *testing.T) {
+	party := newParty(t, 1)
+	party.await("the first configuration", version(1), 0)
+	calls := func() int { return party.store.Calls("/v1/kv-watch") + party.store.Calls("/v1/kv-range") }
+	party.store.SetFault(func(*http.Request) storeserver.Fault { return storeserver.FaultBusy })
+	reads, failures := party.relayers[0].Reads()
+	before := calls()
+	deadline := time.After(patience)
+	for failed := failures; failed < failures+3; _, failed = party.relayers[0].Reads() {
+		select {
+		case <-deadline:
+			t.Fatal("the process does not read")
+		case <-time.After(passTime):
+		}
+	}
+	made := calls() - before
+	now, _ := party.relayers[0].Reads()
+	// One more read may be under way, and one may have begun before the store refused.
+	if most := now - reads + 1; made > most {
+		t.Errorf("%d calls for %d reads of a store that refuses them", made, now-reads)
+	}
+	party.store.SetFault(nil)
+	party.configure(2)
+	party.await("a new configuration", version(2), 0)
+}
+
 func TestOneProcessReadsForAll(t *testing.T) {
 	party := newParty(t, 6)
 	party.await("the first configuration", version(1), 0, 1, 2, 3, 4, 5)
--- a/message_deployment.go
+++ b/message_deployment.go
@@ -142,6 +142,7 @@
 type ViewSource interface {
 	// ReadView returns what the store holds now.
 	ReadView(ctx context.Context) (View, error)
-	// UpdateView returns a view with all changes since, and an error when it must be read anew.
+	// UpdateView returns a view with all changes since, an error that is ErrSourceUnavailable where the source did not serve the call, and
+	// another one where the view must be read anew.
 	UpdateView(ctx context.Context, view View) (View, error)
 }
--- a/planner/increment.go
+++ b/planner/increment.go
@@ -40,8 +40,8 @@
 	original  [][]bool
 	counts    []int
 	// holders are the ranks that hold each expert.
-	holders   [][]int
-	totals    []float64
+	holders [][]int
+	totals  []float64
 	// crowds are the crowdings of the ranks.
 	crowds    []float64
 	newcomers []int
--- a/platform.go
+++ b/platform.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
+// ErrSourceUnavailable means that the platform's store did not serve a call: it refused it, could not be reached, or broke off.
+var ErrSourceUnavailable = eris.New("the store does not serve this process now")
+
 // KeyValueStore is the platform's key-value service.
 type KeyValueStore interface {
 	// Get returns the record of a key, which does not exist when its revision is zero.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -29,6 +30,11 @@
 	// shortestRetry and longestRetry are the pauses after failed reads; the longest stays under the bound for a configuration.
 	shortestRetry = 200 * time.Millisecond
 	longestRetry  = 1200 * time.Millisecond
+	// retrySpacing is how far apart, on average, the reads of all processes that hear each other are while the store fails them all: the first
+	// one that succeeds tells the others.
+	retrySpacing = 25 * time.Millisecond
+	// farthestRetry bounds the pause that this makes, as peers that were heard may be gone.
+	farthestRetry = 4 * time.Second
 )
 
 var errNothingKnown = eris.New("nothing is known yet")
@@ -137,14 +143,20 @@
 			pause = relayer.untilDue()
 			continue
 		}
-		if eris.Is(err, context.DeadlineExceeded) {
+		if errors.Is(err, context.DeadlineExceeded) {
 			timeout = slowReadTimeout
 		}
-		pause = retry/2 + time.Duration(rand.Int64N(int64(retry)))
+		mean := retryPause(retry, len(relayer.Present()))
+		pause = mean/2 + time.Duration(rand.Int64N(int64(mean)))
 		retry = min(2*retry, longestRetry)
 	}
 }
 
+// retryPause returns the mean pause after a failed read of a process that hears so many peers.
+func retryPause(retry time.Duration, peers int) time.Duration {
+	return max(retry, min(time.Duration(peers+1)*retrySpacing, farthestRetry))
+}
+
 // untilDue returns how long the belief stays fresh enough, spread so that one process reads and the others take over.
 func (relayer *Relayer) untilDue() time.Duration {
 	relayer.mutex.Lock()
@@ -169,7 +181,7 @@
 	if present != nil {
 		next, err = relayer.source.UpdateView(ctx, present.View)
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil && !errors.Is(err, cranberryward.ErrSourceUnavailable) && ctx.Err() == nil {
 		if present != nil {
 			_ = level.Info(relayer.options.Logger).Log("event", "store_update_failed", "error", err)
 		}
