--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -28,8 +28,8 @@
 	mayHaveRun bool
 	// ranAt are the backend servers that may have run it, of which the route allows only so many.
 	ranAt map[string]bool
-	// fingerprint is that of all requests like this one, computed when it is first needed.
-	fingerprint string
+	// likeness is the fingerprint of all requests like this one, computed when it is first needed.
+	likeness string
 }
 
 // ticket allows one send; it comes only from exchange.ticket, so a request that may have run and must not run twice has no second one.
@@ -69,14 +69,14 @@
 	return exchange.ranAt[server] || len(exchange.ranAt) < max(exchange.route.AttemptLimit, 1)
 }
 
-// print returns the fingerprint of all requests of the workspace that are like this one.
-func (exchange *exchange) print() string {
-	if exchange.fingerprint == "" {
+// fingerprint returns what all requests of the workspace that are like this one have in common.
+func (exchange *exchange) fingerprint() string {
+	if exchange.likeness == "" {
 		workspace := ""
 		if exchange.workspace != nil {
 			workspace = exchange.workspace.Name
 		}
-		exchange.fingerprint = quarantiner.Fingerprint(workspace, exchange.request.Method, exchange.request.Host, exchange.request.URL.RequestURI(), string(exchange.body))
+		exchange.likeness = quarantiner.Fingerprint(workspace, exchange.request.Method, exchange.request.Host, exchange.request.URL.RequestURI(), string(exchange.body))
 	}
-	return exchange.fingerprint
+	return exchange.likeness
 }
--- a/forwarder/repeat.go
+++ b/forwarder/repeat.go
@@ -2,7 +2,7 @@
 
 // denyRepeat returns why a request may not be sent once more, and takes the repeat from the budget where it may.
 func (forwarder *Forwarder) denyRepeat(exchange *exchange) (reason string) {
-	if exchange.mayHaveRun && !forwarder.crashes.Empty() && forwarder.crashes.Suspect(exchange.print()) {
+	if exchange.mayHaveRun && !forwarder.crashes.Empty() && forwarder.crashes.Suspect(exchange.fingerprint()) {
 		return "crash_suspect"
 	}
 	if !forwarder.budget.repeat(exchange.service) {
@@ -14,14 +14,14 @@
 // noteCrash takes in that a send ended without a whole answer, where neither its caller nor its time ended it and the request may have run.
 func (forwarder *Forwarder) noteCrash(exchange *exchange) {
 	if exchange.mayHaveRun && exchange.ctx.Err() == nil && exchange.route.Repeatable() {
-		forwarder.crashes.Note(exchange.print())
+		forwarder.crashes.Note(exchange.fingerprint())
 	}
 }
 
 // clearCrashes takes in that a backend server ran a request to its end.
 func (forwarder *Forwarder) clearCrashes(exchange *exchange) {
 	if !forwarder.crashes.Empty() {
-		forwarder.crashes.Clear(exchange.print())
+		forwarder.crashes.Clear(exchange.fingerprint())
 	}
 }
 
--- a/gateway/agent/packing_test.go
+++ b/gateway/agent/packing_test.go
@@ -40,11 +40,19 @@
 	}
 }
 
+func change(set, rank int, experts ...int) MapChange {
+	return MapChange{
+		Set:     set,
+		Rank:    rank,
+		Experts: experts,
+	}
+}
+
 func TestPackedChangesAreTheSame(t *testing.T) {
 	for name, changes := range map[string][]MapChange{
 		"none": nil,
-		"one":  {{Set: 1, Rank: 2, Experts: []int{3, 4, 500}}},
-		"two":  {{Rank: 300, Experts: []int{0}}, {Set: 59, Rank: 1, Experts: []int{1 << 20}}},
+		"one":  {change(1, 2, 3, 4, 500)},
+		"two":  {change(0, 300, 0), change(59, 1, 1<<20)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			unpacked, err := unpackChanges(packChanges(changes))
@@ -60,7 +68,7 @@
 
 // FuzzUnpack reads what any peer may have sent.
 func FuzzUnpack(f *testing.F) {
-	f.Add(packChanges([]MapChange{{Set: 1, Rank: 2, Experts: []int{3, 4, 500}}}))
+	f.Add(packChanges([]MapChange{change(1, 2, 3, 4, 500)}))
 	counts, _, _ := packCounts([]int64{1, 2, 200})
 	f.Add(counts)
 	f.Add([]byte("no packed message"))
--- a/gateway/soaker/soak_test.go
+++ b/gateway/soaker/soak_test.go
@@ -58,7 +58,7 @@
 		struck := make(chan struct{})
 		troubles.Go(func() {
 			defer close(struck)
-			time.Sleep(lasting)
+			<-time.After(lasting)
 			end()
 		})
 		if random.IntN(2) == 0 || exclusive[chosen.name] {
@@ -84,6 +84,8 @@
 	site.t.Helper()
 	transport := &http.Transport{DisableKeepAlives: true}
 	deadline := time.Now().Add(patience)
+	ticker := time.NewTicker(passTime)
+	defer ticker.Stop()
 	tries := 0
 	for entry := range site.entries {
 		for _, kind := range []kind{booking, lookUp, stream} {
@@ -91,7 +93,7 @@
 				if time.Now().After(deadline) {
 					site.t.Fatalf("entry %d serves no %s within %s", entry, kind, patience)
 				}
-				time.Sleep(passTime)
+				<-ticker.C
 			}
 		}
 	}
@@ -111,6 +113,8 @@
 func (site *site) awaitStatus(transport *http.Transport, entry int, key string, expected int) {
 	site.t.Helper()
 	deadline := time.Now().Add(patience)
+	ticker := time.NewTicker(passTime)
+	defer ticker.Stop()
 	for try := 0; ; try++ {
 		ctx, cancel := context.WithTimeout(context.Background(), callerTime)
 		status := 0
@@ -126,21 +130,13 @@
 		if time.Now().After(deadline) {
 			site.t.Fatalf("entry %d answers %d to %s, expected %d", entry, status, key, expected)
 		}
-		time.Sleep(passTime)
+		<-ticker.C
 	}
 }
 
 // finish stops all processes and reports each promise that was broken.
 func (site *site) finish() {
-	step := site.group.Step()
-	deadline := time.Now().Add(patience)
-	for site.group.Step() == step {
-		if time.Now().After(deadline) {
-			site.t.Error("the group stands still")
-			break
-		}
-		time.Sleep(passTime)
-	}
+	site.awaitFurtherPass()
 	for _, process := range site.processes() {
 		process.end(syscall.SIGTERM)
 		for _, told := range process.regressions() {
@@ -154,3 +150,18 @@
 		site.t.Error(fault)
 	}
 }
+
+func (site *site) awaitFurtherPass() {
+	step := site.group.Step()
+	deadline := time.After(patience)
+	ticker := time.NewTicker(passTime)
+	defer ticker.Stop()
+	for site.group.Step() == step {
+		select {
+		case <-deadline:
+			site.t.Error("the group stands still")
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/relayer/busy.go
+++ b/relayer/busy.go
@@ -1,7 +1,5 @@
 package relayer
 
-import "time"
-
 // TellBusy tells the entries how many requests each backend server of a service has, and at most how many each should have, zero if that is not known.
 func (relayer *Relayer) TellBusy(service string, busy map[string]int, limit int) {
 	belief, _ := relayer.Belief()
@@ -28,13 +26,10 @@
 
 // entries returns the addresses of the entries that are heard from.
 func (relayer *Relayer) entries() []string {
-	relayer.mutex.Lock()
-	defer relayer.mutex.Unlock()
 	var entries []string
-	now, expiry := time.Now(), relayer.expiry()
-	for address, peer := range relayer.peers {
-		if peer.notice.Entry && now.Sub(peer.heard) < expiry {
-			entries = append(entries, address)
+	for _, notice := range relayer.Present() {
+		if notice.Entry {
+			entries = append(entries, notice.From)
 		}
 	}
 	return entries
