--- a/gateway/entry/repeat_test.go
+++ b/gateway/entry/repeat_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cranberryward/cranberryward/standin/scriptserver"
 )
@@ -68,3 +69,30 @@
 		t.Errorf("the stream ran at %d backend servers, expected %d", used, allowed)
 	}
 }
+
+// TestStreamThatStalledIsNoCrash cuts a stream off after a long silence, as where another rank of its group was lost, and at once.
+func TestStreamThatStalledIsNoCrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence time.Duration
+		crashes int
+	}{
+		"cut at once":       {0, 1},
+		"cut after a stall": {200 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stage := newStage(t, func(exchange *scriptserver.Exchange) bool {
+				writeEvents(exchange, 0, 1)
+				<-time.After(test.silence)
+				return false
+			})
+			stage.view.Deployment.Routes[2].PauseObjective = 40 * time.Millisecond
+			stage.view.Deployment.Revision++
+			stage.forwarder.Configure(stage.view)
+			stage.send(stage.request(http.MethodPost, "/stream/", "question"))
+			crashes := stage.forwarder.Crashes()
+			if len(crashes) != test.crashes {
+				t.Errorf("%d crashes are told, expected %d", len(crashes), test.crashes)
+			}
+		})
+	}
+}
