--- a/gateway/agent/relay_test.go
+++ b/gateway/agent/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +31,9 @@
 	versions [][]uint64
 }
 
+// parties counts the parties, each of which has addresses of its own.
+var parties atomic.Int64
+
 func newParty(t *testing.T, size int) *party {
 	party := &party{
 		t:        t,
@@ -39,15 +44,10 @@
 	party.configure(1)
 	party.register("i-1", "ready")
 	var addresses []string
-	for range size {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addresses = append(addresses, listener.Addr().String())
-		if err := listener.Close(); err != nil {
-			t.Fatal(err)
-		}
+	number := parties.Add(1)
+	for index := range size {
+		// Addresses of this test process alone: a port of 127.0.0.1 that was free may be taken by any connection.
+		addresses = append(addresses, fmt.Sprintf("127.%d.%d.%d:7600", 100+os.Getpid()%100, 200+number%50, index+1))
 	}
 	for index := range size {
 		party.join(index, addresses)
