Groups of one service are controlled separately

Cause: a service may have several groups, but the controller took the ranks of a service for one group: completeGroup kept the ranks of the latest epoch by their index only, whichever group they belong to, and the agents of all groups campaigned for one key.

Change: the group's name, as its ranks report it, belongs to the key of the lease, to queries and orders, to an agent's fencing of terms, to the group states and loads that entries receive. An entry whose service has an open and a broken group sends requests to the open one.

Result: TestGroupsOfOneServiceAreControlledSeparately timed out before (no map came into force with the name ignored in observe), and passes now.

--- a/forwarder/choice.go
+++ b/forwarder/choice.go
@@ -90,11 +90,11 @@
 }
 
 // slotLimit returns the highest number of requests that a backend server should have in flight.
-func (servers *servers) slotLimit(service string, state *serverState) int {
-	if limit := servers.limits[service]; limit > 0 {
-		return min(limit, state.server.Slots)
+func (serverState *serverState) slotLimit() int {
+	if serverState.limit > 0 {
+		return min(serverState.limit, serverState.server.Slots)
 	}
-	return state.server.Slots
+	return serverState.server.Slots
 }
 
 // estimateWait estimates from the controller's loads how long one more request of a service waits for a slot; it returns zero where they are
@@ -109,7 +109,7 @@
 		if state.tier(now, nil) != 0 || state.server.Slots <= 0 {
 			continue
 		}
-		slots += servers.slotLimit(service, state)
+		slots += state.slotLimit()
 		busy += state.inFlight + state.peerInFlight
 		candidates = append(candidates, candidate{state: state})
 	}
--- a/forwarder/choice_test.go
+++ b/forwarder/choice_test.go
@@ -56,7 +56,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			servers := loadedServers(test.reportedAt)
-			servers.limits = map[string]int{service: test.limit}
+			for _, state := range servers.byService[service] {
+				state.limit = test.limit
+			}
 			wait := servers.estimateWait(service)
 			if waits := wait > 0; waits != test.waits {
 				t.Errorf("wait is %v, expected a wait: %v", wait, test.waits)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -90,10 +90,10 @@
 	forwarder.servers.setPeerLoads(others)
 }
 
-// SetControllerLoads sets the number of requests of all entries at each backend server of a service, which for controllerLoadMaxAge takes
-// precedence over SetPeerLoads, and the limit for each backend server, where zero means the number of its slots.
-func (forwarder *Forwarder) SetControllerLoads(service string, busy map[string]int, limit int) {
-	forwarder.servers.setControllerLoads(service, busy, limit)
+// SetGroupLoad sets the number of requests of all entries at each rank of a group, which for controllerLoadMaxAge takes precedence over
+// SetPeerLoads, and the limit for each rank, where zero means the number of its slots.
+func (forwarder *Forwarder) SetGroupLoad(load cranberryward.GroupLoad) {
+	forwarder.servers.setGroupLoad(load)
 }
 
 // InFlight returns the number of callers' requests that are being served.
@@ -111,9 +111,9 @@
 	forwarder.budget.configure(ratio, slack, window)
 }
 
-// SetGroupState records what the agent of a rank reports on the group that serves a service.
-func (forwarder *Forwarder) SetGroupState(service, from string, epoch uint64, open bool) {
-	forwarder.groups.record(service, from, epoch, open)
+// SetGroupState records what the agent at an address reports on the group of its rank.
+func (forwarder *Forwarder) SetGroupState(from string, state cranberryward.GroupState) {
+	forwarder.groups.record(from, state)
 }
 
 // CloseExpired closes the connections to backend servers that have been idle for too long to be used again.
--- a/forwarder/groups.go
+++ b/forwarder/groups.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
+
+	"github.com/cranberryward/cranberryward"
 )
 
 const (
@@ -19,9 +22,13 @@
 // groupRetryAfter returns the Retry-After for a group that is broken or stalled.
 func groupRetryAfter() time.Duration { return brokenRetryAfter + rand.N(brokenRetryJitter) }
 
+// groupKey identifies one of the groups that serve a service.
+type groupKey struct{ service, name string }
+
 // groups holds the states of the groups that serve services, as the agents of their ranks report them.
 type groups struct {
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// reports holds the last report of each agent, by service and then by the agent's host, which is that of its rank.
 	reports map[string]map[string]groupReport
 	// changed is created by a waiter, and closed and cleared when a rank reports another state.
 	changed chan struct{}
@@ -29,66 +36,103 @@
 
 // groupReport is the last state of a group that the agent of one rank reported.
 type groupReport struct {
-	epoch uint64
-	open  bool
+	state cranberryward.GroupState
 	at    time.Time
 }
 
 // record stores the report of a rank's agent and wakes the waiters if the state differs from that agent's last report.
-func (groups *groups) record(service, from string, epoch uint64, open bool) {
+func (groups *groups) record(from string, state cranberryward.GroupState) {
 	groups.mutex.Lock()
 	defer groups.mutex.Unlock()
 	if groups.reports == nil {
 		groups.reports = map[string]map[string]groupReport{}
 	}
-	if groups.reports[service] == nil {
-		groups.reports[service] = map[string]groupReport{}
+	if groups.reports[state.Service] == nil {
+		groups.reports[state.Service] = map[string]groupReport{}
 	}
-	before := groups.reports[service][from]
-	groups.reports[service][from] = groupReport{
-		epoch: epoch,
-		open:  open,
+	host := hostOf(from)
+	before := groups.reports[state.Service][host]
+	groups.reports[state.Service][host] = groupReport{
+		state: state,
 		at:    time.Now(),
 	}
-	if open != before.open && groups.changed != nil {
+	if state.Open != before.state.Open && groups.changed != nil {
 		close(groups.changed)
 		groups.changed = nil
 	}
 }
 
-// broken returns whether a rank of the latest epoch reports that the group is broken.
+// hostOf returns the host of an address HOST:PORT, or the whole address if it has no port.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// broken returns whether no group of a service is open: of each, a rank of the latest epoch reports that it is broken.
 func (groups *groups) broken(service string) bool {
 	groups.mutex.Lock()
 	defer groups.mutex.Unlock()
-	return groups.brokenLocked(service)
+	return allBroken(groups.brokenByName(service))
 }
 
-// brokenLocked is broken for callers that hold the mutex; it also deletes expired reports.
-func (groups *groups) brokenLocked(service string) bool {
-	latest, broken := uint64(0), false
+func allBroken(broken map[string]bool) bool {
+	for _, one := range broken {
+		if !one {
+			return false
+		}
+	}
+	return len(broken) > 0
+}
+
+// brokenByName returns for each known group of a service whether it is broken, and deletes expired reports; the caller holds the mutex.
+func (groups *groups) brokenByName(service string) map[string]bool {
+	latest, broken := map[string]uint64{}, map[string]bool{}
 	now := time.Now()
-	for from, report := range groups.reports[service] {
+	for host, report := range groups.reports[service] {
 		if now.Sub(report.at) > groupReportTTL {
-			delete(groups.reports[service], from)
+			delete(groups.reports[service], host)
 			continue
 		}
+		name, epoch, closed := report.state.Name, report.state.Epoch, !report.state.Open
+		known, seen := latest[name]
 		switch {
-		case report.epoch > latest:
-			latest, broken = report.epoch, !report.open
-		case report.epoch == latest:
-			broken = broken || !report.open
+		case !seen || epoch > known:
+			latest[name], broken[name] = epoch, closed
+		case epoch == known:
+			broken[name] = broken[name] || closed
 		}
 	}
 	return broken
 }
 
-// awaitOpen waits until the group of a service is no longer known to be broken, and returns false if the time-out or the context ends first.
+// openOnly returns a function that excludes the backend servers whose group is broken while another group of the service is open.
+func (groups *groups) openOnly(service string) func(server cranberryward.BackendServer) bool {
+	groups.mutex.Lock()
+	defer groups.mutex.Unlock()
+	broken := groups.brokenByName(service)
+	excluded := map[string]bool{}
+	if !allBroken(broken) {
+		for host, report := range groups.reports[service] {
+			if broken[report.state.Name] {
+				excluded[host] = true
+			}
+		}
+	}
+	return func(server cranberryward.BackendServer) bool {
+		return len(excluded) == 0 || !excluded[hostOf(server.Address)]
+	}
+}
+
+// awaitOpen waits until a group of a service is no longer known to be broken, and returns false if the time-out or the context ends first.
 func (groups *groups) awaitOpen(ctx context.Context, service string, timeout time.Duration) bool {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		groups.mutex.Lock()
-		if !groups.brokenLocked(service) {
+		if !allBroken(groups.brokenByName(service)) {
 			groups.mutex.Unlock()
 			return true
 		}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -33,7 +33,7 @@
 				break
 			}
 		}
-		state := forwarder.servers.pick(exchange.service, exchange.tried, nil)
+		state := forwarder.servers.pick(exchange.service, exchange.tried, forwarder.groups.openOnly(exchange.service))
 		if state == nil || exchange.tried[state.server.ID] && exchange.mayHaveRun {
 			if state != nil {
 				forwarder.servers.done(state, outcomeAbandoned)
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -45,6 +45,9 @@
 	// peerInFlight counts the requests of other entries, and controllerLoadAt is when a controller last reported the load that it is computed from.
 	peerInFlight     int
 	controllerLoadAt time.Time
+	// group is the name of the group whose controller reported that load, and limit is the limit that it set, zero for the number of slots.
+	group string
+	limit int
 }
 
 // servers holds the states of the registered backend servers.
@@ -54,11 +57,9 @@
 	mutex sync.Mutex
 	// durations holds the moving average of the durations of each service's requests.
 	durations map[string]time.Duration
-	// limits holds the controller's last limit on the requests at each backend server of a service, where zero means the number of its slots.
-	limits map[string]int
-	states map[string]*serverState
-	// controllerReportAt is when a controller last reported loads.
-	controllerReportAt time.Time
+	states    map[string]*serverState
+	// controllerReportAt is when the controller of each group last reported loads.
+	controllerReportAt map[groupKey]time.Time
 	byService          map[string][]*serverState
 }
 
@@ -107,19 +108,24 @@
 	}
 }
 
-// setControllerLoads sets the requests of other entries at each backend server: the reported requests less those of this entry.
-func (servers *servers) setControllerLoads(service string, busy map[string]int, limit int) {
+// setGroupLoad sets the requests of other entries at each rank of a group: the reported requests less those of this entry.
+func (servers *servers) setGroupLoad(load cranberryward.GroupLoad) {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
-	if servers.limits == nil {
-		servers.limits = map[string]int{}
+	if servers.controllerReportAt == nil {
+		servers.controllerReportAt = map[groupKey]time.Time{}
 	}
-	servers.limits[service] = limit
 	now := time.Now()
-	servers.controllerReportAt = now
-	for id, count := range busy {
+	servers.controllerReportAt[groupKey{load.Service, load.Group}] = now
+	for _, state := range servers.byService[load.Service] {
+		if state.controllerLoadAt.IsZero() || state.group == load.Group {
+			state.limit = load.Limit
+		}
+	}
+	for id, count := range load.Counts {
 		if state := servers.states[id]; state != nil {
 			state.peerInFlight, state.controllerLoadAt = max(count-state.inFlight, 0), now
+			state.group = load.Group
 		}
 	}
 }
@@ -139,14 +145,14 @@
 
 // pick chooses a backend server of a service and counts a request at it, or returns nil if there is none; a nil function allows all, and a
 // backend server that was tried already is a last resort.
-func (servers *servers) pick(service string, tried map[string]bool, allowed func(id string) bool) *serverState {
+func (servers *servers) pick(service string, tried map[string]bool, allowed func(server cranberryward.BackendServer) bool) *serverState {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
 	now := time.Now()
 	var candidates []candidate
 	best := 0
 	for _, state := range servers.byService[service] {
-		if allowed != nil && !allowed(state.server.ID) {
+		if allowed != nil && !allowed(state.server) {
 			continue
 		}
 		tier := state.tier(now, tried)
@@ -173,9 +179,13 @@
 	return chosen
 }
 
-// unreported returns whether a controller still reports loads but no longer that of this backend server, which may have stalled.
+// unreported returns whether the controller of its group still reports loads but no longer that of this backend server, which may have stalled.
 func (servers *servers) unreported(state *serverState, now time.Time) bool {
-	return !state.controllerLoadAt.IsZero() && now.Sub(servers.controllerReportAt) < controllerLoadMaxAge && servers.controllerReportAt.Sub(state.controllerLoadAt) > unreportedAge
+	if state.controllerLoadAt.IsZero() {
+		return false
+	}
+	reportAt := servers.controllerReportAt[groupKey{state.server.Service, state.group}]
+	return now.Sub(reportAt) < controllerLoadMaxAge && reportAt.Sub(state.controllerLoadAt) > unreportedAge
 }
 
 // tier returns 0 for a usable backend server, 1 to 3 for last resorts, of which lower ones come first, and a negative number for one that must
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -146,7 +146,10 @@
 		if permit == nil || forwarder.denyRetry(exchange) != "" {
 			return nil, nil
 		}
-		state := forwarder.servers.pick(exchange.service, exchange.tried, exchange.mayRunAt)
+		open := forwarder.groups.openOnly(exchange.service)
+		state := forwarder.servers.pick(exchange.service, exchange.tried, func(server cranberryward.BackendServer) bool {
+			return exchange.mayRunAt(server.ID) && open(server)
+		})
 		if state == nil {
 			return nil, nil
 		}
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -148,8 +148,9 @@
 	if report.Group == "" {
 		return
 	}
-	agent.relayer.AnnounceGroup(relayer.GroupState{
+	agent.relayer.AnnounceGroup(cranberryward.GroupState{
 		Service: agent.settings.Service,
+		Name:    report.Group,
 		Epoch:   report.Epoch,
 		Open:    report.Open,
 	})
@@ -183,6 +184,9 @@
 			}
 			continue
 		}
+		if !agent.knowsGroup() {
+			continue
+		}
 		if err := agent.lead(ctx); err != nil && ctx.Err() == nil {
 			_ = level.Info(agent.logger).Log("event", "campaign_failed", "error", err)
 			// Another agent holds the lease, or the store does not answer: either way this one waits as if a controller had been heard.
@@ -191,11 +195,25 @@
 	}
 }
 
+// knowsGroup returns whether the name, the cost model and the ranks of the group are known, without which it cannot be controlled.
+func (agent *Agent) knowsGroup() bool {
+	_, known := agent.rankService.lastGroup()
+	return known && agent.Engine() != nil && len(agent.Members()) > 0
+}
+
+// Name returns the name of the group that this agent's rank belongs to.
+func (agent *Agent) Name() string {
+	name, _ := agent.rankService.lastGroup()
+	return name
+}
+
+// groupKey returns the key in the store that the controller of the group holds; a service may have several groups.
+func (agent *Agent) groupKey() string {
+	return groupPrefix + agent.settings.Service + "/" + agent.Name()
+}
+
 // lead acquires the lease and controls the group until the term ends.
 func (agent *Agent) lead(ctx context.Context) error {
-	if agent.Engine() == nil || len(agent.Members()) == 0 {
-		return eris.New("the group's cost model or ranks are not known yet")
-	}
 	lease, term, err := agent.acquireLease(ctx)
 	if err != nil {
 		return err
@@ -217,7 +235,7 @@
 func (agent *Agent) acquireLease(ctx context.Context) (lease, term uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	key := groupPrefix + agent.settings.Service
+	key := agent.groupKey()
 	held, err := agent.store.Get(ctx, key)
 	if err != nil {
 		return 0, 0, eris.Wrap(err, "look for the group's key")
--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -71,7 +71,12 @@
 		// The load of a slow rank is scaled up by its pace, so that entries send it fewer requests.
 		loads[id] = int(float64(report.Running+report.Waiting+1)*max(report.Pace, 1)) - 1
 	}
-	agent.relayer.AnnounceLoad(agent.settings.Service, loads, limit)
+	agent.relayer.AnnounceLoad(cranberryward.GroupLoad{
+		Service: agent.settings.Service,
+		Group:   agent.Name(),
+		Counts:  loads,
+		Limit:   limit,
+	})
 }
 
 // limit returns the largest number of requests that each rank should have, or zero if it is unknown.
--- a/gateway/agent/message_rank.go
+++ b/gateway/agent/message_rank.go
@@ -27,6 +27,7 @@
 
 // OrderRequest asks an agent to pass an order to its rank; Life is the incarnation in which the agent learned the term.
 type OrderRequest struct {
+	Group string
 	Term  uint64
 	Life  uint64
 	Order cranberryward.RankOrder
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -30,6 +30,8 @@
 	incarnation uint64
 
 	mutex     sync.Mutex
+	group     string
+	reported  bool
 	term      uint64
 	lastHeard time.Time
 
@@ -54,10 +56,17 @@
 
 // Observe returns the state of the rank to the controller of the latest term.
 func (rankService *rankService) Observe(request ObserveRequest, reply *ObserveReply) error {
-	if err := rankService.acceptTerm(request.Question.Term); err != nil {
-		return caller.EncodeError(err)
+	rankService.learnGroup()
+	query := request.Question
+	own := rankService.ownGroup(query.Group)
+	if own {
+		if err := rankService.acceptTerm(query.Term); err != nil {
+			return caller.EncodeError(err)
+		}
+	} else {
+		query.Counts, query.Placement = false, false
 	}
-	observation, err := observe(rankService.rank, request.Question)
+	observation, err := observe(rankService.rank, query)
 	if err != nil {
 		return caller.EncodeError(err)
 	}
@@ -78,6 +87,9 @@
 	}
 	rankService.orderMutex.Lock()
 	defer rankService.orderMutex.Unlock()
+	if !rankService.ownGroup(request.Group) {
+		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the rank belongs to another group than "+request.Group))
+	}
 	if err := rankService.acceptTerm(request.Term); err != nil {
 		return caller.EncodeError(err)
 	}
@@ -115,6 +127,30 @@
 	return order, nil
 }
 
+// learnGroup queries the rank if its group is not known, as after a start of the agent.
+func (rankService *rankService) learnGroup() {
+	if _, known := rankService.lastGroup(); known {
+		return
+	}
+	if observation, err := observe(rankService.rank, rebalancer.Query{}); err == nil {
+		rankService.recordReport(observation.Report)
+	}
+}
+
+// ownGroup returns whether a controller's group is the one that the rank last reported; each group has its own terms.
+func (rankService *rankService) ownGroup(group string) bool {
+	rankService.mutex.Lock()
+	defer rankService.mutex.Unlock()
+	return rankService.reported && rankService.group == group
+}
+
+// lastGroup returns the name of the rank's group, and false if the rank has not reported it yet.
+func (rankService *rankService) lastGroup() (name string, known bool) {
+	rankService.mutex.Lock()
+	defer rankService.mutex.Unlock()
+	return rankService.group, rankService.reported
+}
+
 // acceptTerm records a later term, and returns an error for an earlier one.
 func (rankService *rankService) acceptTerm(term uint64) error {
 	rankService.mutex.Lock()
@@ -129,6 +165,10 @@
 func (rankService *rankService) recordReport(report cranberryward.RankReport) {
 	rankService.mutex.Lock()
 	rankService.lastReport = time.Now()
+	if rankService.group != report.Group {
+		rankService.term = 0 // the terms of another group do not compare with those of this one
+	}
+	rankService.group, rankService.reported = report.Group, true
 	rankService.mutex.Unlock()
 	rankService.onReport(report)
 }
--- a/gateway/agent/rank_client.go
+++ b/gateway/agent/rank_client.go
@@ -63,14 +63,14 @@
 }
 
 // Order sends the rank an order; of a map, only the differences to the last one are sent, because whole maps fill slow links.
-func (rankClient *rankClient) Order(ctx context.Context, term uint64, order cranberryward.RankOrder) (cranberryward.OrderOutcome, error) {
+func (rankClient *rankClient) Order(ctx context.Context, group string, term uint64, order cranberryward.RankOrder) (cranberryward.OrderOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*localTimeout)
 	defer cancel()
-	request := rankClient.request(term, order)
+	request := rankClient.request(group, term, order)
 	outcome, err := rankClient.call(ctx, request)
 	if request.Base != 0 && err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonConflict {
 		rankClient.forgetMap()
-		outcome, err = rankClient.call(ctx, rankClient.request(term, order))
+		outcome, err = rankClient.call(ctx, rankClient.request(group, term, order))
 	}
 	if err == nil {
 		rankClient.rememberMap(order)
@@ -87,10 +87,11 @@
 	}
 }
 
-func (rankClient *rankClient) request(term uint64, order cranberryward.RankOrder) OrderRequest {
+func (rankClient *rankClient) request(group string, term uint64, order cranberryward.RankOrder) OrderRequest {
 	rankClient.mutex.Lock()
 	defer rankClient.mutex.Unlock()
 	request := OrderRequest{
+		Group: group,
 		Term:  term,
 		Life:  rankClient.incarnation,
 		Order: order,
--- a/gateway/agent/rank_test.go
+++ b/gateway/agent/rank_test.go
@@ -16,12 +16,13 @@
 	t.Cleanup(server.Close)
 	service := newRankService(strings.TrimPrefix(server.URL, "http://"), func(cranberryward.RankReport) {})
 	var observed ObserveReply
-	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Term: 7}}, &observed); err != nil {
+	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Group: rankSettings.Name, Term: 7}}, &observed); err != nil {
 		t.Fatal(err)
 	}
 	hold := OrderRequest{
-		Term: 6,
-		Life: observed.Life,
+		Group: rankSettings.Name,
+		Term:  6,
+		Life:  observed.Life,
 		Order: cranberryward.RankOrder{
 			Kind:  cranberryward.RankHold,
 			Epoch: observed.Observation.Report.Epoch,
@@ -32,7 +33,7 @@
 	if err := service.Order(hold, &reply); err == nil {
 		t.Error("an order of an earlier term was accepted")
 	}
-	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Term: 7}}, &observed); err != nil || observed.Observation.Report.Held != 0 {
+	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Group: rankSettings.Name, Term: 7}}, &observed); err != nil || observed.Observation.Report.Held != 0 {
 		t.Errorf("the rank is held at step %d by an earlier term, error %v", observed.Observation.Report.Held, err)
 	}
 	hold.Term = 7
@@ -40,3 +41,44 @@
 		t.Errorf("an order of the current term: %v, %v", reply.Answer, err)
 	}
 }
+
+// TestOtherGroupIsFenced checks that the controller of another group of the service neither ends the term of the rank's own controller nor orders
+// the rank, though its term is later.
+func TestOtherGroupIsFenced(t *testing.T) {
+	group := rankserver.NewGroup(rankSettings)
+	server := httptest.NewServer(group.Rank(0))
+	t.Cleanup(server.Close)
+	service := newRankService(strings.TrimPrefix(server.URL, "http://"), func(cranberryward.RankReport) {})
+	own := rebalancer.Query{
+		Group: rankSettings.Name,
+		Term:  7,
+	}
+	var observed ObserveReply
+	if err := service.Observe(ObserveRequest{Question: own}, &observed); err != nil {
+		t.Fatal(err)
+	}
+	other := rebalancer.Query{
+		Group: "g9",
+		Term:  8,
+	}
+	if err := service.Observe(ObserveRequest{Question: other}, &observed); err != nil || observed.Observation.Report.Group != rankSettings.Name {
+		t.Fatalf("the other controller learned group %q, error %v", observed.Observation.Report.Group, err)
+	}
+	hold := OrderRequest{
+		Group: other.Group,
+		Term:  other.Term,
+		Life:  observed.Life,
+		Order: cranberryward.RankOrder{
+			Kind:  cranberryward.RankHold,
+			Epoch: observed.Observation.Report.Epoch,
+			Step:  100,
+		},
+	}
+	var reply OrderReply
+	if err := service.Order(hold, &reply); err == nil {
+		t.Error("an order of another group's controller was accepted")
+	}
+	if err := service.Observe(ObserveRequest{Question: own}, &observed); err != nil || observed.Observation.Report.Held != 0 {
+		t.Errorf("the own controller is answered with %v, the rank is held at step %d", err, observed.Observation.Report.Held)
+	}
+}
--- a/gateway/agent/rebalancer_test.go
+++ b/gateway/agent/rebalancer_test.go
@@ -30,6 +30,7 @@
 )
 
 var rankSettings = rankserver.Settings{
+	Name:    "g0",
 	Ranks:   4,
 	Sets:    2,
 	Experts: 16,
@@ -41,6 +42,7 @@
 // testGroup is a group of stand-in ranks with an agent next to each, as a rebalancer sees it.
 type testGroup struct {
 	t       *testing.T
+	name    string
 	group   *rankserver.Group
 	members []rebalancer.Member
 	hot     atomic.Int64
@@ -54,10 +56,15 @@
 	wait      sync.WaitGroup
 }
 
-func newTestGroup(t *testing.T) *testGroup {
+func newTestGroup(t *testing.T) *testGroup { return newNamedTestGroup(t, rankSettings.Name) }
+
+func newNamedTestGroup(t *testing.T, name string) *testGroup {
+	settings := rankSettings
+	settings.Name = name
 	testGroup := &testGroup{
 		t:     t,
-		group: rankserver.NewGroup(rankSettings),
+		name:  name,
+		group: rankserver.NewGroup(settings),
 		stop:  make(chan struct{}),
 	}
 	client := caller.NewClient("")
@@ -77,7 +84,7 @@
 		server.Start()
 		t.Cleanup(server.Stop)
 		testGroup.members = append(testGroup.members, rebalancer.Member{
-			ID: "rank",
+			ID: address,
 			Client: &rankClient{
 				client:       client,
 				agentAddress: server.Address(),
@@ -128,6 +135,9 @@
 // CountsRate returns zero, for no bound.
 func (testGroup *testGroup) CountsRate() float64 { return 0 }
 
+// Name returns the name of the group.
+func (testGroup *testGroup) Name() string { return testGroup.name }
+
 // Members returns the ranks.
 func (testGroup *testGroup) Members() []rebalancer.Member { return testGroup.members }
 
@@ -371,3 +381,27 @@
 	testGroup.awaitSwitches(6)
 	testGroup.requireOneMap()
 }
+
+// TestGroupsOfOneServiceAreControlledSeparately runs two groups with equal epochs and rank numbers, whose ranks are registered for one service: a
+// controller that took ranks of both for one group would put its map in force on some ranks of each.
+func TestGroupsOfOneServiceAreControlledSeparately(t *testing.T) {
+	groups := []*testGroup{newNamedTestGroup(t, "g0"), newNamedTestGroup(t, "g1")}
+	var members []rebalancer.Member
+	for index := range rankSettings.Ranks {
+		for _, group := range groups {
+			members = append(members, group.members[index])
+		}
+	}
+	for index, group := range groups {
+		group.members = members
+		group.drift.Store(driftPasses)
+		end := group.runController(uint64(index + 1))
+		defer end()
+	}
+	for range 2 {
+		for _, group := range groups {
+			group.awaitSwitches(2)
+			group.requireOneMap()
+		}
+	}
+}
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -93,7 +93,7 @@
 		OnChange:         entry.applySnapshot,
 		InFlightByServer: entry.forwarder.InFlightByServer,
 		OnNotice:         entry.handleNotice,
-		OnLoad:           entry.forwarder.SetControllerLoads,
+		OnLoad:           entry.forwarder.SetGroupLoad,
 		OnCrashes:        entry.forwarder.MergeCrashes,
 		Logger:           logger,
 	}, platform.NewStore(settings.Store), entry.client)
@@ -164,7 +164,7 @@
 // handleNotice applies the group state that an agent's notice holds.
 func (entry *Entry) handleNotice(notice relayer.Notice) {
 	if group := notice.Group; group != nil {
-		entry.forwarder.SetGroupState(group.Service, notice.From, group.Epoch, group.Open)
+		entry.forwarder.SetGroupState(notice.From, *group)
 	}
 }
 
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -302,7 +302,7 @@
 		"a removed key":                      {"/book/", nil, func(fixture *fixture) { fixture.configure(3, "other-key") }, 401},
 		"an older configuration":             {"/book/", nil, func(fixture *fixture) { fixture.configure(1, "other-key") }, 200},
 		"a leaving backend server":           {"/book/", nil, func(fixture *fixture) { fixture.drainServer() }, 503},
-		"a group that is broken":             {"/book/", nil, func(fixture *fixture) { fixture.forwarder.SetGroupState("app", "agent", 1, false) }, 503},
+		"a group that is broken":             {"/book/", nil, func(fixture *fixture) { fixture.forwarder.SetGroupState("agent", groupState(1, false)) }, 503},
 		"a group that has reopened":          {"/book/", nil, (*fixture).reopenGroup, 200},
 		"a body longer than the limit":       {"/long/", nil, func(*fixture) {}, 413},
 		"a stop that leaves too little time": {"/book/", nil, func(fixture *fixture) { fixture.forwarder.Stop(time.Now().Add(time.Second)) }, 503},
@@ -357,9 +357,18 @@
 	fixture.forwarder.Configure(fixture.view)
 }
 
+func groupState(epoch uint64, open bool) cranberryward.GroupState {
+	return cranberryward.GroupState{
+		Service: "app",
+		Name:    "g0",
+		Epoch:   epoch,
+		Open:    open,
+	}
+}
+
 func (fixture *fixture) reopenGroup() {
-	fixture.forwarder.SetGroupState("app", "agent-1", 1, false)
-	fixture.forwarder.SetGroupState("app", "agent-2", 2, true)
+	fixture.forwarder.SetGroupState("agent-1", groupState(1, false))
+	fixture.forwarder.SetGroupState("agent-2", groupState(2, true))
 }
 
 func TestBytesAfterResponseAreDiscarded(t *testing.T) {
@@ -473,13 +482,19 @@
 		"i-0": 0,
 		"i-1": 3,
 	}
-	fixture.forwarder.SetControllerLoads("app", loads, 0)
+	fixture.forwarder.SetGroupLoad(cranberryward.GroupLoad{
+		Service: "app",
+		Counts:  loads,
+	})
 	delete(loads, "i-0")
 	deadline := time.After(waitTimeout)
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
-		fixture.forwarder.SetControllerLoads("app", loads, 0)
+		fixture.forwarder.SetGroupLoad(cranberryward.GroupLoad{
+			Service: "app",
+			Counts:  loads,
+		})
 		if _, body := fixture.send(fixture.request(http.MethodPost, "/book/", "question")); body == "second" {
 			return
 		}
--- a/message_engine.go
+++ b/message_engine.go
@@ -132,3 +132,22 @@
 	Text      string `json:"text"`
 	Finished  bool   `json:"finished"`
 }
+
+// GroupState is the state of a group that serves a service, as the agent of one of its ranks reports it.
+type GroupState struct {
+	Service string `json:"service"`
+	// Name is the name of the group, of which a service may have several.
+	Name  string `json:"name,omitempty"`
+	Epoch uint64 `json:"epoch"`
+	Open  bool   `json:"open"`
+}
+
+// GroupLoad is the load of the ranks of a group, as its controller observed it.
+type GroupLoad struct {
+	Service string
+	Group   string
+	// Counts holds the number of requests at each rank that answered, by the ID of its backend server.
+	Counts map[string]int
+	// Limit is the largest number of requests that each rank should have, or zero if it is unknown.
+	Limit int
+}
--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		wait.Go(func() {
-			observation, err := rank.client.Observe(ctx, Query{Term: rebalancer.term})
+			observation, err := rank.client.Observe(ctx, rebalancer.query())
 			if err == nil && (observation.Report.Epoch != rebalancer.epoch || !observation.Report.Open) {
 				err = errEpochEnded
 			}
@@ -189,7 +189,7 @@
 	// All ranks switch at the same pass, so observing one of them is enough.
 	first := rebalancer.ranks[:1]
 	for deadline := time.Now().Add(switchTimeout); time.Now().Before(deadline); {
-		observation, err := first[0].client.Observe(ctx, Query{Term: rebalancer.term})
+		observation, err := first[0].client.Observe(ctx, rebalancer.query())
 		if err != nil || observation.Report.Epoch != rebalancer.epoch || observation.Report.Map == version {
 			return err
 		}
@@ -230,7 +230,7 @@
 	var failure error
 	for range maxOrderAttempts {
 		order.Orders = rank.observation.Report.Orders
-		outcome, err := rank.client.Order(ctx, rebalancer.term, order)
+		outcome, err := rank.client.Order(ctx, rebalancer.group.Name(), rebalancer.term, order)
 		if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
 			return false, eris.Wrapf(err, "order to rank %d", index)
 		}
@@ -240,7 +240,7 @@
 		}
 		failure = err
 		before := rank.observation.Report.Orders
-		observation, err := rank.client.Observe(ctx, Query{Term: rebalancer.term})
+		observation, err := rank.client.Observe(ctx, rebalancer.query())
 		if err != nil {
 			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
 				return false, eris.Wrapf(err, "order to rank %d", index)
--- a/rebalancer/message_observation.go
+++ b/rebalancer/message_observation.go
@@ -14,9 +14,10 @@
 	Fresh bool
 }
 
-// Query selects what an observation includes, and names the term of the controller that asks.
+// Query selects what an observation includes, and names the group and the term of the controller that asks.
 type Query struct {
-	Term uint64
+	Group string
+	Term  uint64
 	// Counts and Placement request the optional parts of an Observation.
 	Counts    bool
 	Placement bool
--- a/rebalancer/observe.go
+++ b/rebalancer/observe.go
@@ -11,9 +11,18 @@
 	"github.com/rotisserie/eris"
 )
 
-// observe queries all members concurrently, and keeps their ranks only if all ranks of one open group answered in the same epoch.
+// query returns a query for the report of a rank only.
+func (rebalancer *Rebalancer) query() Query {
+	return Query{
+		Group: rebalancer.group.Name(),
+		Term:  rebalancer.term,
+	}
+}
+
+// observe queries the members that may belong to the group concurrently, and keeps their ranks only if all ranks of the open group answered in the
+// same epoch.
 func (rebalancer *Rebalancer) observe(ctx context.Context, counts bool) error {
-	members := rebalancer.group.Members()
+	members := rebalancer.foreign.filter(rebalancer.group.Members(), time.Now())
 	var sampled map[string]bool
 	if counts {
 		sampled = rebalancer.sampler.choose(time.Now(), members, rebalancer.countsPerRank(), rebalancer.group.CountsRate())
@@ -25,10 +34,9 @@
 	var wait sync.WaitGroup
 	for i, member := range members {
 		wait.Go(func() {
-			observations[i], failures[i] = member.Client.Observe(ctx, Query{
-				Term:   rebalancer.term,
-				Counts: sampled[member.ID],
-			})
+			query := rebalancer.query()
+			query.Counts = sampled[member.ID]
+			observations[i], failures[i] = member.Client.Observe(ctx, query)
 		})
 	}
 	wait.Wait()
@@ -44,6 +52,11 @@
 			failure = eris.Wrapf(failures[i], "observe %s", member.ID)
 			continue
 		}
+		foreign := observations[i].Report.Group != rebalancer.group.Name()
+		rebalancer.foreign.record(member.ID, foreign, now)
+		if foreign {
+			continue
+		}
 		rebalancer.demand.observe(observations[i].Report.Rank, observations[i].Report.Born, observations[i].Counts)
 		ranks = append(ranks, rank{
 			id:          member.ID,
@@ -146,10 +159,9 @@
 		placement[set] = make([][]int, len(rebalancer.ranks))
 	}
 	for i := range rebalancer.ranks {
-		observation, err := rebalancer.ranks[i].client.Observe(ctx, Query{
-			Term:      rebalancer.term,
-			Placement: true,
-		})
+		query := rebalancer.query()
+		query.Placement = true
+		observation, err := rebalancer.ranks[i].client.Observe(ctx, query)
 		if err != nil {
 			return eris.Wrapf(err, "read the placement of rank %d", i)
 		}
--- a/rebalancer/rank_client.go
+++ b/rebalancer/rank_client.go
@@ -10,6 +10,6 @@
 type RankClient interface {
 	// Observe returns the state of the rank and the optional parts that the query asks for.
 	Observe(ctx context.Context, query Query) (Observation, error)
-	// Order sends the rank an order on behalf of the controller of the given term.
-	Order(ctx context.Context, term uint64, order cranberryward.RankOrder) (cranberryward.OrderOutcome, error)
+	// Order sends the rank an order on behalf of the controller of the given group and term.
+	Order(ctx context.Context, group string, term uint64, order cranberryward.RankOrder) (cranberryward.OrderOutcome, error)
 }
--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -40,6 +40,8 @@
 
 // Group provides the group's members and settings to the rebalancer and receives its observations.
 type Group interface {
+	// Name returns the name of the group; the other groups of the same service have other names.
+	Name() string
 	// Members returns the backend servers that are currently registered for the service.
 	Members() []Member
 	// Engine returns the published cost model, or nil before the configuration is known.
@@ -60,6 +62,7 @@
 	logger log.Logger
 
 	demand         demand
+	foreign        foreignRanks
 	sampler        sampler
 	ranks          []rank
 	epoch          uint64
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -1,7 +1,9 @@
 package relayer
 
-// AnnounceLoad sends the entries the number of requests at each backend server of a service, and the limit for each, zero if it is unknown.
-func (relayer *Relayer) AnnounceLoad(service string, busy map[string]int, limit int) {
+import "github.com/cranberryward/cranberryward"
+
+// AnnounceLoad sends the entries the load of a group.
+func (relayer *Relayer) AnnounceLoad(load cranberryward.GroupLoad) {
 	snapshot, _ := relayer.Snapshot()
 	if snapshot == nil {
 		return
@@ -10,12 +12,13 @@
 		From:    relayer.options.Address,
 		Content: snapshot.Content,
 		Busy: &ServiceLoad{
-			Service: service,
-			Limit:   limit,
+			Service: load.Service,
+			Group:   load.Group,
+			Limit:   load.Limit,
 		},
 	}
-	for _, id := range snapshot.serviceIDs(service) {
-		count, observed := busy[id]
+	for _, id := range snapshot.serviceIDs(load.Service) {
+		count, observed := load.Counts[id]
 		if !observed {
 			count = unknownCount
 		}
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -28,23 +28,18 @@
 	// Running counts this entry's requests at each backend server, by ID.
 	Running map[string]int `json:"running,omitempty"`
 	// Group is the state of the group of the rank next to this agent.
-	Group *GroupState `json:"group,omitempty"`
+	Group *cranberryward.GroupState `json:"group,omitempty"`
 	// Crashed counts the backend servers that each of a few requests, by fingerprint, recently crashed at this entry.
 	Crashed map[string]int `json:"crashed,omitempty"`
 	// Busy is the load of a service's backend servers.
 	Busy *ServiceLoad `json:"busy,omitempty"`
 }
 
-// GroupState is the state of the group that serves a service, as one rank reports it.
-type GroupState struct {
-	Service string `json:"service"`
-	Epoch   uint64 `json:"epoch"`
-	Open    bool   `json:"open"`
-}
-
 // ServiceLoad counts the requests at each backend server of a service, ordered by ID in the snapshot with the notice's content.
 type ServiceLoad struct {
 	Service string `json:"service"`
+	// Group is the name of the group whose controller reports; it leaves out the backend servers of other groups.
+	Group string `json:"group,omitempty"`
 	// Counts has one byte for each backend server; 255 means that the count is unknown.
 	Counts []byte `json:"counts"`
 	// Limit is the largest number of requests that each of them should have, or zero if it is unknown.
--- a/relayer/message_options.go
+++ b/relayer/message_options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cranberryward/cranberryward"
 	"github.com/go-kit/log"
 )
 
@@ -21,8 +22,8 @@
 	OnChange func(before, now *Snapshot)
 	// InFlightByServer returns the number of this entry's requests at each backend server, by ID.
 	InFlightByServer func() map[string]int
-	// OnLoad is called with the load of a service's backend servers, by ID, that a group's controller announces, and with the limit for each.
-	OnLoad func(service string, busy map[string]int, limit int)
+	// OnLoad is called with the load of a group that its controller announces.
+	OnLoad func(load cranberryward.GroupLoad)
 	// OnCrashes is called with the requests that crashed backend servers at the entry with the given address.
 	OnCrashes func(from string, crashed map[string]int)
 	// OnNotice is called with every other notice of a peer.
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberryward/cranberryward"
 	"github.com/go-kit/log/level"
 )
 
@@ -52,7 +53,12 @@
 		}
 		if notice.Busy != nil {
 			if relayer.options.OnLoad != nil {
-				relayer.options.OnLoad(notice.Busy.Service, relayer.loadByID(notice), notice.Busy.Limit)
+				relayer.options.OnLoad(cranberryward.GroupLoad{
+					Service: notice.Busy.Service,
+					Group:   notice.Busy.Group,
+					Counts:  relayer.loadByID(notice),
+					Limit:   notice.Busy.Limit,
+				})
 			}
 			continue
 		}
@@ -70,7 +76,7 @@
 }
 
 // AnnounceGroup tells peers at once if the state of the group has changed.
-func (relayer *Relayer) AnnounceGroup(state GroupState) {
+func (relayer *Relayer) AnnounceGroup(state cranberryward.GroupState) {
 	relayer.mutex.Lock()
 	changed := relayer.group == nil || *relayer.group != state
 	relayer.group = &state
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -55,7 +55,7 @@
 	// fetchingRevision is the revision that is being fetched from a peer, and fetchingSince is when that fetch began.
 	fetchingRevision uint64
 	fetchingSince    time.Time
-	group            *GroupState
+	group            *cranberryward.GroupState
 
 	reads, failures int
 }
--- a/standin/rankserver/message.go
+++ b/standin/rankserver/message.go
@@ -4,6 +4,8 @@
 
 // Settings configure the size, the capacity and the delays of a group.
 type Settings struct {
+	// Name is the name of the group; it may be empty if a service has a single group.
+	Name    string
 	Ranks   int
 	Sets    int
 	Experts int
--- a/standin/rankserver/rank.go
+++ b/standin/rankserver/rank.go
@@ -77,7 +77,7 @@
 	defer rank.group.mutex.Unlock()
 	report := map[string]any{
 		"Stage": "combined",
-		"group": map[string]any{"Name": "g0", "epoch": rank.group.epoch, "rank": rank.index, "State": map[bool]string{
+		"group": map[string]any{"Name": rank.group.settings.Name, "epoch": rank.group.epoch, "rank": rank.index, "State": map[bool]string{
 			true:  "open",
 			false: "broken",
 		}[rank.group.open]},
