switcher: a held group's version is chosen anew before each attempt

Cause: Resolve read the ranks' states once, took the newest version that all had prepared, and ordered the switch to it without end.

Change: before each attempt to restore a held group, the newest version that every rank has prepared now is read again.

--- a/cranberryward/prover/switch_test.go
+++ b/cranberryward/prover/switch_test.go
@@ -270,3 +270,63 @@
 		t.Fatalf("the group runs version %d, want 2", last)
 	}
 }
+
+// discardingRankClient discards a version at all ranks when it is ordered to switch to it, as a controller does that gives the change up meanwhile.
+type discardingRankClient struct {
+	faultyRankClient
+	group   *engineserver.Group
+	version uint64
+}
+
+func (discardingRankClient *discardingRankClient) Order(ctx context.Context, order cranberryward.Order) error {
+	if order.Kind == cranberryward.OrderSwitch && order.Version == discardingRankClient.version {
+		for number := range discardingRankClient.group.RankCount() {
+			discard := cranberryward.Order{
+				Kind:    cranberryward.OrderDiscard,
+				Version: order.Version,
+				Fencing: order.Fencing,
+			}
+			if err := discardingRankClient.group.Rank(number).ExecuteOrder(ctx, discard); err != nil {
+				return err
+			}
+		}
+	}
+	return discardingRankClient.faultyRankClient.Order(ctx, order)
+}
+
+// TestHeldGroupIsReleasedWhenItsNewVersionIsDiscarded guards against ordering a version for ever that was prepared by all ranks when the held group
+// was found, and which the controller discards before the ranks have switched.
+func TestHeldGroupIsReleasedWhenItsNewVersionIsDiscarded(t *testing.T) {
+	group := newGroup(t, false)
+	prepareMap(t, group, 2)
+	firstRank := group.Rank(0)
+	hold := cranberryward.Order{
+		Kind:    cranberryward.OrderHold,
+		Step:    firstRank.State().Step + 3,
+		Fencing: 9,
+	}
+	if err := firstRank.ExecuteOrder(t.Context(), hold); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the group is held", func() bool { return firstRank.State().Held })
+	var rankClients []switcher.RankClient
+	for number := range group.RankCount() {
+		rankClients = append(rankClients, &discardingRankClient{
+			faultyRankClient: faultyRankClient{
+				rank: group.Rank(number),
+			},
+			group:   group,
+			version: 2,
+		})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	next := switcher.New("calls", func() []switcher.RankClient { return rankClients }, log.NewNopLogger())
+	if resolved, err := next.Resolve(ctx); err != nil || !resolved {
+		t.Fatal(resolved, err)
+	}
+	awaitSteps(t, group)
+	if last := checkStepVersions(t, group.StepLog()); last != 1 {
+		t.Errorf("the group runs version %d, expected 1", last)
+	}
+}
--- a/switcher/attempt.go
+++ b/switcher/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/charter"
+	"github.com/cranberryward/cranberryward/waiter"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -98,24 +99,24 @@
 	attempt.fire(eventHold)
 	if !attempt.hold(ctx, bound/holdWaitDivisor) {
 		attempt.fire(eventRollBack)
-		attempt.restore(ctx, attempt.change.FromVersion)
+		_, _ = attempt.restore(ctx, attempt.fixedVersion(attempt.change.FromVersion)) // the context does not end
 		attempt.fire(eventRestored)
 		return attempt.outcome(), newRefusal(cranberryward.ReasonUnreachable, "the group could not be held at a step boundary")
 	}
 	attempt.fire(eventHeld)
 	switch attempt.switchAll(ctx) {
 	case switchSucceeded:
-		attempt.release(ctx)
+		_ = attempt.release(ctx) // the context does not end
 		attempt.fire(eventSwitched)
 		return attempt.outcome(), nil
 	case switchUnknown:
 		// A rank may carry out an order late if its response was lost, which is harmless only if the group already runs that version.
-		attempt.restore(ctx, attempt.change.ToVersion)
+		_, _ = attempt.restore(ctx, attempt.fixedVersion(attempt.change.ToVersion)) // the context does not end
 		attempt.fire(eventSwitched)
 		return attempt.outcome(), nil
 	}
 	attempt.fire(eventRollBack)
-	attempt.restore(ctx, attempt.change.FromVersion)
+	_, _ = attempt.restore(ctx, attempt.fixedVersion(attempt.change.FromVersion)) // the context does not end
 	attempt.fire(eventRestored)
 	return attempt.outcome(), newRefusal(cranberryward.ReasonUnreachable, "a rank did not switch its expert map; every rank runs the previous version")
 }
@@ -182,44 +183,84 @@
 	return result
 }
 
-// release ends the hold of the first rank, whichever hold order took effect, and retries until the hold has ended.
-func (attempt *attempt) release(ctx context.Context) {
+// release ends the hold of the first rank, whichever hold order took effect, and retries until the hold or the context has ended.
+func (attempt *attempt) release(ctx context.Context) error {
 	firstRank := attempt.rankClients[0]
+	lastLogged := time.Now()
 	for {
 		state, err := firstRank.State(ctx)
 		if err == nil && state.HeldStep == 0 {
-			return
+			return nil
 		}
 		if err == nil {
 			order := attempt.newOrder(cranberryward.OrderRelease, 0, attempt.nextFencing())
 			order.Step = state.HeldStep
 			err = firstRank.Order(ctx, order)
 		}
-		if err != nil {
-			time.Sleep(retryDelay)
+		if err == nil {
+			continue
+		}
+		attempt.logHeld(&lastLogged, state.MapVersion, err)
+		if waiter.Sleep(ctx, retryDelay); ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
 }
 
-// restore switches every rank to the version and releases the group, retrying until each rank is known to run the version or, after a restart, none.
-func (attempt *attempt) restore(ctx context.Context, version uint64) {
+// versionChooser returns the version that a held group is switched to before it is released.
+type versionChooser func(ctx context.Context) (uint64, error)
+
+func (attempt *attempt) fixedVersion(version uint64) versionChooser {
+	return func(context.Context) (uint64, error) { return version, nil }
+}
+
+// newestPrepared returns the newest version that every rank has prepared now; the controller may discard versions at any time.
+func (attempt *attempt) newestPrepared(ctx context.Context) (uint64, error) {
+	states, err := States(ctx, attempt.rankClients)
+	if err != nil {
+		return 0, err
+	}
+	version := newestPreparedByAll(states)
+	if version == 0 {
+		return 0, newRefusal(cranberryward.ReasonStale, "no expert map version is prepared by every rank")
+	}
+	return version, nil
+}
+
+// restore switches every rank to the chosen version and releases the group, retrying with a new choice until each rank is known to run the version
+// or, after a restart, none.
+func (attempt *attempt) restore(ctx context.Context, choose versionChooser) (version uint64, err error) {
 	lastLogged := time.Now()
-	for !attempt.restoreOnce(ctx, version) {
-		if time.Since(lastLogged) > heldLogInterval {
-			lastLogged = time.Now()
-			_ = attempt.switcher.logger.Log("event", "group_held", "group", attempt.change.Group, "step", attempt.step,
-				"held_ms", time.Since(attempt.started).Milliseconds(), "reason", "a rank's version is unknown")
+	for {
+		if version, err = attempt.restoreOnce(ctx, choose); err == nil {
+			return version, attempt.release(ctx)
+		}
+		attempt.logHeld(&lastLogged, version, err)
+		if waiter.Sleep(ctx, retryDelay); ctx.Err() != nil {
+			return version, ctx.Err()
 		}
-		time.Sleep(retryDelay)
 	}
-	attempt.release(ctx)
 }
 
-func (attempt *attempt) restoreOnce(ctx context.Context, version uint64) bool {
+// logHeld logs why the group is still held, at most once in heldLogInterval.
+func (attempt *attempt) logHeld(lastLogged *time.Time, version uint64, reason error) {
+	if time.Since(*lastLogged) < heldLogInterval {
+		return
+	}
+	*lastLogged = time.Now()
+	_ = attempt.switcher.logger.Log("event", "group_held", "group", attempt.change.Group, "step", attempt.step, "version", version,
+		"held_ms", time.Since(attempt.started).Milliseconds(), "reason", reason)
+}
+
+// restoreOnce orders every rank to switch to the chosen version once, and returns an error unless each is known to run it.
+func (attempt *attempt) restoreOnce(ctx context.Context, choose versionChooser) (version uint64, err error) {
 	if rankClients := attempt.switcher.rankClients(); len(rankClients) == len(attempt.rankClients) {
 		// A restarted agent accepts orders only for its current incarnation.
 		attempt.rankClients = rankClients
 	}
+	if version, err = choose(ctx); err != nil {
+		return version, err
+	}
 	order := attempt.newOrder(cranberryward.OrderSwitch, version, attempt.nextFencing())
 	var errGroup errgroup.Group
 	for i, rankClient := range attempt.rankClients {
@@ -231,7 +272,7 @@
 			return err
 		})
 	}
-	return errGroup.Wait() == nil
+	return version, errGroup.Wait()
 }
 
 // restoreRank returns nil when the rank runs the ordered version or, after a restart, none at all.
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -131,8 +131,7 @@
 		switcher:    switcher,
 		rankClients: rankClients,
 		change: Change{
-			Group:       switcher.group,
-			FromVersion: newestPreparedByAll(states),
+			Group: switcher.group,
 		},
 		machine:       chart.Start(),
 		step:          firstRank.HeldStep,
@@ -143,9 +142,12 @@
 	for _, state := range states {
 		attempt.fencing = max(attempt.fencing, state.Fencing)
 	}
-	// A late order of the earlier switcher leads to the same version.
-	attempt.restore(ctx, attempt.change.FromVersion)
-	_ = switcher.logger.Log("event", "group_resolved", "group", switcher.group, "step", attempt.step, "version", attempt.change.FromVersion)
+	// A late order of the earlier switcher leads to the same version, unless the controller has discarded it meanwhile.
+	version, err := attempt.restore(ctx, attempt.newestPrepared)
+	if err != nil {
+		return false, err
+	}
+	_ = switcher.logger.Log("event", "group_resolved", "group", switcher.group, "step", attempt.step, "version", version)
 	return true, nil
 }
 
