Circuit breaker: failures count for the state in which the request was sent

A probe that ended neither in success nor in a counted failure was never freed.

Change: a request gets a permit of the state it is sent in; failures of another state are ignored, and a probe that ends otherwise frees the next.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -133,6 +133,7 @@
 	instance cranberryward.Instance
 	bytes    int
 	choice   router.Choice
+	permit   limiter.SendPermit
 }
 
 // Instance returns the backend server that was chosen.
@@ -159,7 +160,7 @@
 		return nil, false
 	}
 	i := choice.Server()
-	pool.slots[i].breaker.Begin()
+	permit := pool.slots[i].breaker.Begin()
 	pool.servers[i].SentRequests++
 	pool.servers[i].SentBytes += request.PromptBytes()
 	pool.servers[i].Outstanding++
@@ -170,6 +171,7 @@
 		instance: pool.slots[i].instance,
 		bytes:    request.PromptBytes(),
 		choice:   choice,
+		permit:   permit,
 	}, true
 }
 
@@ -192,8 +194,11 @@
 		slot.breaker.Succeed(now)
 	case failure.Reason() == cranberryward.ReasonLeaving, failure.Reason() == cranberryward.ReasonStopping:
 		slot.draining = true
+		slot.breaker.Abandon(attempt.permit)
 	case failure.Reason() == cranberryward.ReasonUnreachable, failure.Reason() == cranberryward.ReasonCrashed, failure.Reason() == cranberryward.ReasonResponseBroken:
-		slot.breaker.Fail(now)
+		slot.breaker.Fail(attempt.permit, now)
+	default:
+		slot.breaker.Abandon(attempt.permit)
 	}
 }
 
