A suspect that waited is not sent to a backend server that is down

Cause: a suspect waits behind the crashing request; recording the crash lets it in, it reaches the backend server that is still down and is charged with a second crash (KNOWN-RED, TestCrashingRequestIsQuarantined). The test counted unfinished executions, also of other requests, instead of crashes.

Change: the health is checked again after the wait; a drain that ends the wait is named as the reason. The stand-in marks the executions that crashed, and the test counts these: each run at each backend server, where it counted each request once before.

--- a/agent/server/admission.go
+++ b/agent/server/admission.go
@@ -38,7 +38,7 @@
 			"the request has crashed backend servers and is quarantined").WithResend(false)
 	}
 	if agent.health.isDown() {
-		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "the backend server is down").WithRetryAfter(downRetryAfter)
+		return nil, newDownRefusal()
 	}
 	refusing, err := agent.drain.begin()
 	if err != nil {
@@ -57,6 +57,10 @@
 	return admission, nil
 }
 
+func newDownRefusal() error {
+	return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "the backend server is down").WithRetryAfter(downRetryAfter)
+}
+
 // acquire waits for the limiter's permit and, for a suspect, until no other suspect runs; a drain that begins to refuse requests ends the wait.
 func (admission *admission) acquire(ctx context.Context, refusing <-chan struct{}, suspect bool) error {
 	agent := admission.agent
@@ -77,8 +81,17 @@
 		return err
 	}
 	generation, err := agent.suspects.Enter(waitCtx, admission.request.fingerprint, suspect)
+	if err == nil && agent.health.isDown() {
+		// The suspect that this request waited for has crashed the backend server: sent now, the request would be charged with that crash too.
+		agent.suspects.Leave(admission.request.fingerprint, generation, false)
+		permit.Release()
+		return newDownRefusal()
+	}
 	if err != nil {
 		permit.Release()
+		if ctx.Err() == nil {
+			return agent.drain.currentRefusal()
+		}
 		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonOverloaded,
 			"the request was in flight at a crash and was still waiting for another such request to end").WithCause(err).WithRetryAfter(suspectRetryAfter)
 	}
--- a/cranberryward/prover/fleet_test.go
+++ b/cranberryward/prover/fleet_test.go
@@ -544,14 +544,21 @@
 // executionsByRequest returns the execution records of all engines by request ID.
 func (fleet *fleet) executionsByRequest() map[string]cranberryward.ExecutionRecord {
 	byRequest := map[string]cranberryward.ExecutionRecord{}
+	for _, execution := range fleet.executions() {
+		byRequest[execution.RequestID] = execution
+	}
+	return byRequest
+}
+
+// executions returns the execution records of all engines.
+func (fleet *fleet) executions() []cranberryward.ExecutionRecord {
+	var all []cranberryward.ExecutionRecord
 	for _, engine := range fleet.engines {
 		var executions []cranberryward.ExecutionRecord
 		getJSON(fleet.t, "http://"+engine.backend+"/log/executions", &executions)
-		for _, execution := range executions {
-			byRequest[execution.RequestID] = execution
-		}
+		all = append(all, executions...)
 	}
-	return byRequest
+	return all
 }
 
 // checkTexts fails the test if the text of a complete result differs from what an engine generated for that request.
--- a/cranberryward/prover/overload_test.go
+++ b/cranberryward/prover/overload_test.go
@@ -40,11 +40,8 @@
 		}
 	}
 	crashes := 0
-	for id := range fleet.executionsByRequest() {
-		for _, engine := range fleet.engines {
-			_ = engine
-		}
-		if strings.Contains(fleet.crashMarkerOf(id), crashMarker) {
+	for _, execution := range fleet.executions() {
+		if execution.Crashed {
 			crashes++
 		}
 	}
@@ -71,15 +68,6 @@
 	}
 }
 
-// crashMarkerOf returns the crash marker if the execution is unfinished and has no text, and an empty string otherwise. Every text begins
-// with its request ID, so an execution without text has generated no token, as after a crash.
-func (fleet *fleet) crashMarkerOf(id string) string {
-	if execution := fleet.executionsByRequest()[id]; !execution.Finished && execution.Text == "" {
-		return crashMarker
-	}
-	return ""
-}
-
 func TestRetriesStayWithinBudget(t *testing.T) {
 	fleet := newFleet(t, fleetOptions{
 		zones:          1,
--- a/message_engine.go
+++ b/message_engine.go
@@ -131,6 +131,8 @@
 	Version   string `json:"version,omitempty"`
 	Text      string `json:"text"`
 	Finished  bool   `json:"finished"`
+	// Crashed is whether the request crashed the backend server as it began to run.
+	Crashed bool `json:"crashed,omitempty"`
 }
 
 // GroupState is the state of a group that serves a service, as the agent of one of its ranks reports it.
--- a/standin/engineserver/rank.go
+++ b/standin/engineserver/rank.go
@@ -123,6 +123,7 @@
 			Version:   stream.request.Version,
 			Text:      stream.text[:stream.emittedBytes],
 			Finished:  stream.end != nil,
+			Crashed:   stream.crashed,
 		})
 	}
 	return executions
@@ -216,6 +217,7 @@
 	rank.running = append(rank.running, stream)
 	rank.executions = append(rank.executions, stream)
 	if marker := rank.faults.CrashMarker; marker != "" && strings.Contains(stream.request.Prompt, marker) {
+		stream.crashed = true
 		rank.crash()
 	}
 }
--- a/standin/engineserver/stream.go
+++ b/standin/engineserver/stream.go
@@ -25,6 +25,7 @@
 	end           *cranberryward.FrameEnd
 	canceled      bool
 	lost          bool
+	crashed       bool
 	changed       chan struct{}
 	readers       int
 }
