caller: replies are decoded into memory of the call's own

Change: the reply is copied to the caller's variable after a call without an error. A cancelled call no longer closes the connection that it shares; one that times out does, because only that shows a silent connection.

--- a/caller/client.go
+++ b/caller/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,19 +38,27 @@
 	return client.received.Load(), client.sent.Load()
 }
 
-// Call calls a method of the peer at the address; a failure says whether the call may have run.
+// Call calls a method of the peer at the address and sets the value that reply points to, unless it returns an error; a failure says whether the call
+// may have run.
 func (client *Client) Call(ctx context.Context, address, method string, request, reply any) error {
 	peer, err := client.connect(ctx, address)
 	if err != nil {
 		return err
 	}
-	call := peer.Go(method, request, reply, make(chan *rpc.Call, 1))
+	// The reply is decoded into memory of the call's own, because a reply to an abandoned call may be decoded after Call has returned.
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	call := peer.Go(method, request, decoded.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
+		}
 		return client.callError(address, peer, call.Error)
 	case <-ctx.Done():
-		// The reply is gob-decoded into the caller's memory, so the connection must not stay open after the call is abandoned.
-		client.drop(address, peer)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The connection may have gone silent for good, which only a time-out shows.
+			client.drop(address, peer)
+		}
 		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonDeadline, "call of "+method+" was not answered in time").WithCause(ctx.Err())
 	}
 }
