Faults found by reading, each with a test

- deduplicator: an abandoned key left its place in the order and was exported twice when admitted again (TestAbandonedKeyIsExportedOnce).
- quarantiner: a peer's count of zero made a record, and equally old records were all evicted (TestAnswersAtPeersMakeNoRecords, TestEvictionKeeps...).
- connector: three informational responses failed a request; sixteen are skipped now (TestInformationalResponsesAreSkipped).

Without a test of their own: a reply of the distributor reads configuration and entries under one lock; Submit no longer sleeps after its last attempt; smoke no longer indexes an empty step log; rebalancer.sendOrder returns the context's error, and a switch that was not seen is logged; an agent revokes a lease whose key another one holds, and drops the clients of gone ranks; a failed log write no longer shifts the sampling; keep-alive probes end a silent connection after 1.5 s, as the constant says, not 2 s; settings that no code reads are gone.

--- a/agent/server/settings.go
+++ b/agent/server/settings.go
@@ -29,7 +29,6 @@
 	LogLevel      string        `json:"log_level"`
 	MaxBody       int           `json:"max_body"`
 	QueueLength   int           `json:"queue_length"`
-	LeavingBound  time.Duration `json:"leaving_bound"`
 	HoldBound     time.Duration `json:"hold_bound"`
 	MaxAge        time.Duration `json:"max_age"`
 	ClockError    time.Duration `json:"clock_error"`
@@ -71,7 +70,6 @@
 	loader.Choice(&settings.LogLevel, "log-level", "info", "Lowest level of log lines", "debug", "info", "warn", "error")
 	loader.Number(&settings.MaxBody, "max-body", 1<<20, 1<<10, 64<<20, "bytes", "Longest request body")
 	loader.Number(&settings.QueueLength, "queue-length", 256, 1, 100000, "requests", "Most requests that wait for the backend server")
-	loader.Duration(&settings.LeavingBound, "leaving-bound", 3*time.Second, 0, time.Minute, "Time after which a leaving backend server takes no new work")
 	loader.Duration(&settings.HoldBound, "hold-bound", 2*time.Second, 50*time.Millisecond, time.Minute, "Longest time that a group is held at a step boundary")
 	loader.Duration(&settings.MaxAge, "max-age", 5*time.Second, time.Second, time.Minute, "Age of the last confirmation of the configuration up to which disruptive operations are allowed")
 	loader.Duration(&settings.ClockError, "clock-error", time.Second, 0, time.Minute, "Largest difference between clocks of instances")
--- a/agent/server/versions.go
+++ b/agent/server/versions.go
@@ -51,13 +51,12 @@
 
 // chooseVersion sets the model version that a request runs on to the first one that the sheet allows, the engine has loaded and the request accepts.
 func (agent *agent) chooseVersion(generateRequest *cranberryward.GenerateRequest) error {
-	allowed, restricted := agent.localState.EffectiveConfiguration().Versions(agent.instance.Group)
+	allowed, restricted := agent.localState.EffectiveConfiguration().AllowedVersions(agent.instance.Group, agent.health.loadedVersions())
 	if !restricted {
 		return nil
 	}
-	loaded := agent.health.loadedVersions()
 	for _, version := range allowed {
-		if slices.Contains(loaded, version) && (generateRequest.Version == "" || generateRequest.Version == version) {
+		if generateRequest.Version == "" || generateRequest.Version == version {
 			generateRequest.Version = version
 			return nil
 		}
--- a/configurer/effective_configuration.go
+++ b/configurer/effective_configuration.go
@@ -19,7 +19,9 @@
 	priorities map[string]int
 	leaving    map[string]bool
 	versions   map[string][]string
-	crashes    map[string]int
+	// forbidden holds the versions that corrections forbid, by group, which also apply to a group without a list of versions.
+	forbidden map[string]map[string]bool
+	crashes   map[string]int
 }
 
 // NewEffectiveConfiguration applies the corrections that have not expired at the given time.
@@ -29,6 +31,7 @@
 		priorities: map[string]int{},
 		leaving:    map[string]bool{},
 		versions:   map[string][]string{},
+		forbidden:  map[string]map[string]bool{},
 		crashes:    map[string]int{},
 	}
 	for _, row := range configuration.Sheet.Priorities {
@@ -75,16 +78,25 @@
 		delete(effectiveConfiguration.leaving, correction.Name)
 	case cranberryward.CorrectPinVersion:
 		effectiveConfiguration.versions[correction.Name] = []string{correction.Value}
+		delete(effectiveConfiguration.forbidden[correction.Name], correction.Value)
 	case cranberryward.CorrectForbidVersion:
-		effectiveConfiguration.versions[correction.Name] = slices.DeleteFunc(slices.Clone(effectiveConfiguration.versions[correction.Name]), func(version string) bool {
-			return version == correction.Value
-		})
+		effectiveConfiguration.forbidVersion(correction.Name, correction.Value)
 	case cranberryward.CorrectCrash:
 		effectiveConfiguration.crashes[correction.Name]++
 	}
 	return windows
 }
 
+func (effectiveConfiguration *EffectiveConfiguration) forbidVersion(group, version string) {
+	if effectiveConfiguration.forbidden[group] == nil {
+		effectiveConfiguration.forbidden[group] = map[string]bool{}
+	}
+	effectiveConfiguration.forbidden[group][version] = true
+	if listed, restricted := effectiveConfiguration.versions[group]; restricted {
+		effectiveConfiguration.versions[group] = slices.DeleteFunc(slices.Clone(listed), func(other string) bool { return other == version })
+	}
+}
+
 // Revision returns the revision of the configuration that it was derived from.
 func (effectiveConfiguration *EffectiveConfiguration) Revision() uint64 {
 	return effectiveConfiguration.revision
@@ -108,7 +120,23 @@
 	return effectiveConfiguration.leaving[instance]
 }
 
-// Versions returns the model versions that a group may run, and false when nothing restricts them.
+// AllowedVersions returns which of the loaded model versions a group may run, in the order of preference, and false when nothing restricts them.
+func (effectiveConfiguration *EffectiveConfiguration) AllowedVersions(group string, loaded []string) ([]string, bool) {
+	listed, restricted := effectiveConfiguration.versions[group]
+	forbidden := effectiveConfiguration.forbidden[group]
+	if !restricted {
+		listed = loaded
+	}
+	var allowed []string
+	for _, version := range listed {
+		if slices.Contains(loaded, version) && !forbidden[version] {
+			allowed = append(allowed, version)
+		}
+	}
+	return allowed, restricted || len(forbidden) > 0
+}
+
+// Versions returns the list of the model versions that a group may run, and false when there is none.
 func (effectiveConfiguration *EffectiveConfiguration) Versions(group string) ([]string, bool) {
 	versions, ok := effectiveConfiguration.versions[group]
 	return versions, ok
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -15,6 +15,8 @@
 	dialTimeout = 1200 * time.Millisecond
 	// userTimeout ends a connection whose peer acknowledges nothing, because it has lost power or a partition separates it.
 	userTimeout = 1500 * time.Millisecond
+	// keepAliveSteps is the number of equal pauses in that time: one before the first probe, and one after each probe.
+	keepAliveSteps = 3
 	// maxIdlePerServer bounds the idle connections to one backend server.
 	maxIdlePerServer = 16
 )
@@ -39,9 +41,9 @@
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
-			Idle:     userTimeout / 3,
-			Interval: userTimeout / 3,
-			Count:    3,
+			Idle:     userTimeout / keepAliveSteps,
+			Interval: userTimeout / keepAliveSteps,
+			Count:    keepAliveSteps - 1,
 		},
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -80,3 +80,45 @@
 		t.Errorf("body %q, which belongs to no request", body)
 	}
 }
+
+// TestInformationalResponsesAreSkipped guards against failing a request whose backend server sends several informational responses first, and against
+// reading them without end.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	for _, test := range []struct {
+		informational int
+		answered      bool
+	}{
+		{
+			informational: maxResponsesRead,
+			answered:      true,
+		},
+		{informational: 10 * maxInformational},
+	} {
+		server, err := scriptserver.New(func(exchange *scriptserver.Exchange) bool {
+			for range test.informational {
+				if _, err := io.WriteString(exchange, "HTTP/1.1 103 Early Hints\r\n\r\n"); err != nil {
+					return false
+				}
+			}
+			exchange.Respond(http.StatusOK, "answer")
+			return true
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		var connector Connector
+		response, err := connector.Send(context.Background(), Request{
+			Address: server.Address(),
+			Method:  http.MethodGet,
+			Head:    []byte("GET / HTTP/1.1\r\nHost: front.example\r\n\r\n"),
+			Matches: func(*http.Response) bool { return true },
+		})
+		if (err == nil) != test.answered {
+			t.Errorf("%d informational responses: error %v, expected an answer: %v", test.informational, err, test.answered)
+		}
+		if err == nil {
+			response.Abort()
+		}
+	}
+}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// maxResponsesRead bounds the responses read for one request; late responses to earlier requests and informational responses are skipped.
+	// maxResponsesRead bounds the responses read for one request; late responses to earlier requests are skipped.
 	maxResponsesRead = 3
+	// maxInformational bounds the informational responses (1xx) that are skipped for one request.
+	maxInformational = 16
 	// maxInlineBody is the largest body, in bytes, that is sent before the response is awaited; a longer one is sent concurrently.
 	maxInlineBody = 16 << 10
 	// deadlineGrace is how long a response is awaited after the deadline, so that the backend server's own time-out response can still arrive.
@@ -97,13 +99,10 @@
 func (response *Response) readHead(request Request) error {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxResponsesRead {
-		httpResponse, err := http.ReadResponse(response.connection.reader, httpRequest)
+		httpResponse, err := response.readFinalHead(httpRequest)
 		if err != nil {
 			return err
 		}
-		if httpResponse.StatusCode >= 100 && httpResponse.StatusCode < 200 {
-			continue
-		}
 		if request.Matches(httpResponse) {
 			response.httpResponse = httpResponse
 			response.connection.readKeepAlive(httpResponse)
@@ -117,6 +116,17 @@
 	return eris.Errorf("no response to this request among the first %d", maxResponsesRead)
 }
 
+// readFinalHead reads the status and headers of the next response that is not informational.
+func (response *Response) readFinalHead(httpRequest *http.Request) (*http.Response, error) {
+	for range maxInformational {
+		httpResponse, err := http.ReadResponse(response.connection.reader, httpRequest)
+		if err != nil || httpResponse.StatusCode >= 200 {
+			return httpResponse, err
+		}
+	}
+	return nil, eris.Errorf("more than %d informational responses", maxInformational)
+}
+
 // HTTP returns the underlying HTTP response, whose body the caller may read.
 func (response *Response) HTTP() *http.Response { return response.httpResponse }
 
--- a/cranberryward/commander/submission.go
+++ b/cranberryward/commander/submission.go
@@ -8,6 +8,7 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/cranberryward/administrator"
 	"github.com/cranberryward/cranberryward/entry/server"
+	"github.com/cranberryward/cranberryward/waiter"
 )
 
 const (
@@ -26,7 +27,9 @@
 			break
 		}
 		streams.Progressf("submission %s: outcome of attempt %d of %d unknown", submission.ID, attempt+1, submitAttempts)
-		time.Sleep(submitRetryDelay)
+		if attempt+1 < submitAttempts {
+			waiter.Sleep(ctx, submitRetryDelay)
+		}
 	}
 	if err != nil {
 		return submissionError(submission.ID, err)
--- a/cranberryward/correct/correct.go
+++ b/cranberryward/correct/correct.go
@@ -100,7 +100,9 @@
 		return correction, timeError("--until", options.until)
 	}
 	correction.Until = until
-	correction.Expires = until
+	if correction.Expires.IsZero() || correction.Expires.After(until) {
+		correction.Expires = until
+	}
 	return correction, nil
 }
 
--- a/cranberryward/local/smoke.go
+++ b/cranberryward/local/smoke.go
@@ -221,7 +221,8 @@
 			}
 			versions[record.Step] = record.MapVersion
 		}
-		if last := records[len(records)-1]; last.MapVersion > 1 {
+		if len(records) > 0 && records[len(records)-1].MapVersion > 1 {
+			last := records[len(records)-1]
 			return fmt.Sprintf("version %d on all ranks from the same step, skew %.2f before and %.2f after, longest hold %v",
 				last.MapVersion, before, group.Skew(), group.MaxHoldTime().Round(time.Millisecond)), nil
 		}
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -224,3 +224,20 @@
 		t.Fatal("a list with an earlier incarnation changed the table")
 	}
 }
+
+// TestAbandonedKeyIsExportedOnce guards against handing a key over twice that was abandoned and then admitted again.
+func TestAbandonedKeyIsExportedOnce(t *testing.T) {
+	keyStore := NewKeyStore(0, 0)
+	for range 2 {
+		if added, err := keyStore.Begin("k", "f", time.Unix(1, 0)); err != nil || !added {
+			t.Fatal(added, err)
+		}
+		keyStore.Abandon("k")
+	}
+	if added, err := keyStore.Begin("k", "f", time.Unix(1, 0)); err != nil || !added {
+		t.Fatal(added, err)
+	}
+	if exported := keyStore.Export(func(int) bool { return true }); len(exported) != 1 {
+		t.Errorf("exported %d records of one key", len(exported))
+	}
+}
--- a/deduplicator/keystore.go
+++ b/deduplicator/keystore.go
@@ -1,6 +1,7 @@
 package deduplicator
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -145,6 +146,7 @@
 	if keyEntry := keyStore.keys[key]; keyEntry != nil && !keyEntry.resolved && !keyEntry.failed {
 		close(keyEntry.done)
 		delete(keyStore.keys, key)
+		keyStore.insertionOrder = slices.DeleteFunc(keyStore.insertionOrder, func(other string) bool { return other == key })
 	}
 }
 
--- a/distributor/local_state.go
+++ b/distributor/local_state.go
@@ -153,11 +153,12 @@
 	return append([]cranberryward.ConfigurationEntry{}, localState.recent...)
 }
 
-func (localState *LocalState) entriesSince(revision uint64) (entries []cranberryward.ConfigurationEntry, complete bool) {
+// since returns the newest configuration and the entries that lead to it from a revision, and whether these are complete.
+func (localState *LocalState) since(revision uint64) (configuration cranberryward.Configuration, entries []cranberryward.ConfigurationEntry, complete bool) {
 	localState.mutex.Lock()
 	defer localState.mutex.Unlock()
 	if revision >= localState.configuration.Revision {
-		return nil, true
+		return localState.configuration, nil, true
 	}
 	next := revision + 1
 	for _, entry := range localState.recent {
@@ -166,5 +167,5 @@
 			next++
 		}
 	}
-	return entries, next == localState.configuration.Revision+1
+	return localState.configuration, entries, next == localState.configuration.Revision+1
 }
--- a/distributor/service.go
+++ b/distributor/service.go
@@ -48,7 +48,8 @@
 	defer deadline.Stop()
 	for {
 		changed := service.localState.Changed()
-		if service.fillReply(request, reply) {
+		var newer bool
+		if reply.Revision, newer = service.fillReply(request, reply); newer {
 			break
 		}
 		expired := false
@@ -64,27 +65,26 @@
 	age, confirmed := service.localState.Age()
 	reply.Confirmed = confirmed
 	reply.AgeMillis = age.Milliseconds() + 1
-	reply.Revision = service.localState.Revision()
 	reply.WaitedMillis = time.Since(started).Milliseconds()
 	return nil
 }
 
-func (service *Service) fillReply(request PullRequest, reply *PullReply) (newer bool) {
+// fillReply adds what is newer than the child has, and returns the revision that the child has with it.
+func (service *Service) fillReply(request PullRequest, reply *PullReply) (revision uint64, newer bool) {
 	if membership := service.localState.Membership(); membership.Version > request.MembershipVersion {
 		reply.Membership = &membership
 		newer = true
 	}
-	if service.localState.Revision() <= request.Revision {
-		return newer
+	configuration, entries, complete := service.localState.since(request.Revision)
+	if configuration.Revision <= request.Revision {
+		return configuration.Revision, newer
 	}
-	entries, complete := service.localState.entriesSince(request.Revision)
 	if complete {
 		reply.Entries = entries
 	} else {
-		configuration := service.localState.Configuration()
 		reply.Snapshot = &configuration
 	}
-	return true
+	return configuration.Revision, true
 }
 
 func (service *Service) refreshChild(request PullRequest) {
--- a/entry/server/admin.go
+++ b/entry/server/admin.go
@@ -104,15 +104,35 @@
 }
 
 func (entry *entry) handleZones(writer http.ResponseWriter, request *http.Request) {
-	revision, err := strconv.ParseUint(request.URL.Query().Get("revision"), 10, 64)
+	query := request.URL.Query()
+	revision, wait, err := parseZonesQuery(query.Get("revision"), query.Get("wait"))
 	if err != nil {
+		listener.WriteError(writer, "", err)
+		return
+	}
+	if query.Get("revision") == "" {
 		revision = entry.localState.Revision()
 	}
-	wait, err := time.ParseDuration(request.URL.Query().Get("wait"))
-	if err != nil || wait > entry.settings.InForceWait {
-		wait = 0
+	listener.WriteJSON(writer, http.StatusOK, entry.zoneStatuses(request.Context(), revision, min(wait, entry.settings.InForceWait)))
+}
+
+// parseZonesQuery parses the revision and the wait of a query for zones, each of which may be empty.
+func parseZonesQuery(revisionText, waitText string) (revision uint64, wait time.Duration, err error) {
+	if revisionText != "" {
+		if revision, err = strconv.ParseUint(revisionText, 10, 64); err != nil {
+			return 0, 0, invalidQuery("revision", revisionText, "a number from 0")
+		}
+	}
+	if waitText != "" {
+		if wait, err = time.ParseDuration(waitText); err != nil || wait < 0 {
+			return 0, 0, invalidQuery("wait", waitText, "a duration such as 2s")
+		}
 	}
-	listener.WriteJSON(writer, http.StatusOK, entry.zoneStatuses(request.Context(), revision, wait))
+	return revision, wait, nil
+}
+
+func invalidQuery(name, value, expected string) error {
+	return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonInvalid, "query parameter "+name+": "+strconv.Quote(value)+", expected "+expected).WithResend(false)
 }
 
 func (entry *entry) handleExplain(writer http.ResponseWriter, request *http.Request) {
--- a/entry/server/plain.go
+++ b/entry/server/plain.go
@@ -103,8 +103,9 @@
 }
 
 func writeServiceResponse(writer http.ResponseWriter, metadata metadata, serviceResponse cranberryward.ServiceResponse) {
+	listed := connectionHeaders(serviceResponse.Header)
 	for name, values := range serviceResponse.Header {
-		if !hopByHopHeaders[name] {
+		if !hopByHopHeaders[name] && !listed[name] {
 			writer.Header()[name] = values
 		}
 	}
@@ -159,14 +160,26 @@
 
 func forwardedHeaders(header http.Header) map[string][]string {
 	forwarded := map[string][]string{}
+	listed := connectionHeaders(header)
 	for name, values := range header {
-		if !hopByHopHeaders[name] && !strings.HasPrefix(name, "Cranberryward-") {
+		if !hopByHopHeaders[name] && !listed[name] && !strings.HasPrefix(name, "Cranberryward-") {
 			forwarded[name] = values
 		}
 	}
 	return forwarded
 }
 
+// connectionHeaders returns the headers that a Connection header names, which apply to that connection only.
+func connectionHeaders(header http.Header) map[string]bool {
+	listed := map[string]bool{}
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			listed[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return listed
+}
+
 func (plainCall *plainCall) run(ctx context.Context) (cranberryward.ServiceResponse, error) {
 	entry := plainCall.entry
 	if entry.localState.EffectiveConfiguration().Crashes(plainCall.fingerprint) >= entry.settings.MaxCrashes {
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -64,6 +64,16 @@
 	done       chan struct{}
 }
 
+// ended returns whether the controller has ended, after which another one of the same group may start.
+func (runningController *runningController) ended() bool {
+	select {
+	case <-runningController.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // New returns an entry with the given settings, not yet started.
 func New(settings Settings, logger log.Logger) *Server {
 	background, cancel := context.WithCancel(context.Background())
--- a/entry/server/track.go
+++ b/entry/server/track.go
@@ -54,6 +54,19 @@
 	return found, ok
 }
 
+// dropped returns how many backend servers each pool has no room for, by the name of the pool.
+func (pools *pools) dropped() map[string]int {
+	pools.mutex.Lock()
+	defer pools.mutex.Unlock()
+	dropped := map[string]int{}
+	for name, pool := range pools.byName {
+		if count := pool.Dropped(); count > 0 {
+			dropped[name] = count
+		}
+	}
+	return dropped
+}
+
 func (pools *pools) all() []*pool.Pool {
 	pools.mutex.Lock()
 	defer pools.mutex.Unlock()
@@ -94,6 +107,7 @@
 		if membership := entry.localState.Membership(); membership.Version != version {
 			version = membership.Version
 			entry.pools.sync(membership, entry.settings.Zone, entry.settings.ID)
+			entry.logDropped()
 		}
 		entry.fetchMissingHomes(ctx)
 		for _, pool := range entry.pools.all() {
@@ -109,6 +123,13 @@
 	}
 }
 
+// logDropped logs the pools that have no room for all of their backend servers.
+func (entry *entry) logDropped() {
+	for name, dropped := range entry.pools.dropped() {
+		_ = entry.logger.Log("event", "backend_servers_dropped", "pool", name, "dropped", dropped, "held", router.MaxServers)
+	}
+}
+
 // fetchMissingHomes fetches the tables of key homes that are not known yet.
 func (entry *entry) fetchMissingHomes(ctx context.Context) {
 	for _, service := range entry.settings.Services {
@@ -156,6 +177,8 @@
 	for group, runningController := range entry.controllers {
 		if !wanted[group] {
 			runningController.cancel()
+		}
+		if runningController.ended() {
 			delete(entry.controllers, group)
 		}
 	}
--- a/forwarder/request_log.go
+++ b/forwarder/request_log.go
@@ -40,11 +40,8 @@
 	if exchange.route != nil {
 		route = exchange.route.Name
 	}
-	err := logger.Log(append([]any{"event", "request_ended", "request", exchange.metadata.ID, "status", status, "reason", reason, "route", route,
-		"sends", exchange.sends, "may_have_run", exchange.mayHaveRun, "ms", time.Since(exchange.arrived).Milliseconds()}, details...)...)
-	if err != nil {
-		requestLog.successes.Add(1) // there is nowhere to report a log line that cannot be written
-	}
+	_ = logger.Log(append([]any{"event", "request_ended", "request", exchange.metadata.ID, "status", status, "reason", reason, "route", route,
+		"sends", exchange.sends, "may_have_run", exchange.mayHaveRun, "ms", time.Since(exchange.arrived).Milliseconds()}, details...)...) // there is nowhere to report a log line that cannot be written
 }
 
 // recordStream records the end of a complete stream, with the times that its caller saw.
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -224,12 +224,17 @@
 	go agent.renewLease(ctx, cancel, lease)
 	err = rebalancer.New(agent, term, agent.logger).Run(ctx)
 	_ = level.Info(agent.logger).Log("event", "term_ended", "term", term, "error", err)
-	ending, done := context.WithTimeout(context.Background(), storeTimeout)
-	defer done()
-	if err := agent.store.RevokeLease(ending, lease); err != nil {
+	agent.revokeLease(lease)
+	return nil
+}
+
+// revokeLease ends a lease with its keys, so that the next controller need not wait until it expires.
+func (agent *Agent) revokeLease(lease uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := agent.store.RevokeLease(ctx, lease); err != nil {
 		_ = level.Info(agent.logger).Log("event", "lease_not_ended", "error", err)
 	}
-	return nil
 }
 
 func (agent *Agent) acquireLease(ctx context.Context) (lease, term uint64, err error) {
@@ -250,7 +255,11 @@
 	}
 	value := fmt.Appendf(nil, "%s", agent.settings.PeerAddress())
 	term, err = agent.store.Create(ctx, key, value, lease)
+	if eris.Is(err, platform.ErrConflict) {
+		agent.revokeLease(lease)
+	}
 	if err != nil {
+		// After a lost response the key may exist; it goes with the lease, which is not renewed.
 		return 0, 0, eris.Wrap(err, "create the group's key")
 	}
 	return lease, term, nil
--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -27,6 +27,7 @@
 	agent.mutex.Lock()
 	defer agent.mutex.Unlock()
 	var members []rebalancer.Member
+	clients := make(map[string]*rankClient, len(agent.rankClients))
 	for id, server := range snapshot.Servers {
 		if server.Service != agent.settings.Service {
 			continue
@@ -43,13 +44,14 @@
 				direct:       platform.NewRank(server.Address),
 				changes:      &agent.changes,
 			}
-			agent.rankClients[server.Address] = known
 		}
+		clients[server.Address] = known
 		members = append(members, rebalancer.Member{
 			ID:     id,
 			Client: known,
 		})
 	}
+	agent.rankClients = clients // those of ranks that are gone are dropped
 	return members
 }
 
--- a/gateway/settings/message_settings.go
+++ b/gateway/settings/message_settings.go
@@ -14,16 +14,12 @@
 	Metrics             string   `json:"metrics"`
 	Service             string   `json:"service"`
 	MemoryMB            int64    `json:"memory_mb"`
-	Descriptors         int      `json:"descriptors"`
 	LinkMbps            float64  `json:"link_mbps"`
 	Store               string   `json:"store"`
 	StoreMinimumLeaseMS int64    `json:"store_minimum_lease_ms"`
 	DrainMS             int64    `json:"drain_ms"`
 	GraceSeconds        float64  `json:"grace_s"`
-	ConfigurationMS     int64    `json:"configuration_ms"`
-	StableMS            int64    `json:"stable_ms"`
 	RetryRatio          float64  `json:"retry_ratio"`
 	RetryWindowSeconds  float64  `json:"retry_window_s"`
 	RetrySlack          float64  `json:"retry_slack"`
-	StallMS             int64    `json:"stall_ms"`
 }
--- a/gateway/soaker/deployment_test.go
+++ b/gateway/soaker/deployment_test.go
@@ -150,18 +150,14 @@
 			FirstPort:           peerPort,
 			Seeds:               []string{deployment.address("1", 0, 1), deployment.address("1", 1, 1)},
 			MemoryMB:            128,
-			Descriptors:         1024,
 			LinkMbps:            1000,
 			Store:               proxy.Address(),
 			StoreMinimumLeaseMS: 500,
 			DrainMS:             2000,
 			GraceSeconds:        4,
-			ConfigurationMS:     2000,
-			StableMS:            3000,
 			RetryRatio:          retryRatio,
 			RetrySlack:          retrySlack,
 			RetryWindowSeconds:  retryWindow.Seconds(),
-			StallMS:             500,
 		},
 	}
 	if role == "entry" {
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -155,8 +155,14 @@
 	lease.mutex.Lock()
 	id, held := lease.id, lease.fencing != 0
 	lease.fencing = 0
-	lease.mutex.Unlock()
 	if held {
-		_ = lease.store.RevokeLease(ctx, id)
+		lease.fire(eventRelease)
+	}
+	lease.mutex.Unlock()
+	if !held {
+		return
+	}
+	if err := lease.store.RevokeLease(ctx, id); err != nil {
+		_ = lease.logger.Log("event", "lease_not_revoked", "lease", lease.key, "ttl", lease.ttl, "error", err)
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -29,6 +29,7 @@
 	slots    [router.MaxServers]slot
 	servers  [router.MaxServers]router.Server
 	count    int
+	dropped  int
 	index    *router.PrefixIndex
 	sequence uint64
 }
@@ -71,6 +72,28 @@
 			pool.add(instance)
 		}
 	}
+	pool.dropped = 0
+	for _, instance := range instances {
+		if !pool.holds(instance.ID) {
+			pool.dropped++
+		}
+	}
+}
+
+func (pool *Pool) holds(id string) bool {
+	for i := range pool.slots {
+		if pool.slots[i].used && pool.slots[i].instance.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Dropped returns how many backend servers of the last Sync the pool has no room for.
+func (pool *Pool) Dropped() int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.dropped
 }
 
 func (pool *Pool) clearSlot(i int) {
--- a/quarantiner/crash_counter.go
+++ b/quarantiner/crash_counter.go
@@ -49,6 +49,9 @@
 	crashCounter.mutex.Lock()
 	defer crashCounter.mutex.Unlock()
 	for fingerprint, count := range counts {
+		if count == 0 && crashCounter.records[fingerprint] == nil {
+			continue
+		}
 		record := crashCounter.get(fingerprint)
 		if count == 0 {
 			record.local = 0
@@ -128,7 +131,7 @@
 	return record
 }
 
-// evictOlder deletes the records whose age is at least half that of the oldest one.
+// evictOlder deletes the records whose age is at least half that of the oldest one, and any others beyond half of maxRecords.
 func (crashCounter *CrashCounter) evictOlder() {
 	kept := map[string]*crashRecord{}
 	now := time.Now()
@@ -137,7 +140,7 @@
 		oldest = max(oldest, now.Sub(record.updatedAt))
 	}
 	for fingerprint, record := range crashCounter.records {
-		if now.Sub(record.updatedAt) < oldest/2 {
+		if now.Sub(record.updatedAt) <= oldest/2 && len(kept) < maxRecords/2 {
 			kept[fingerprint] = record
 		}
 	}
--- a/quarantiner/crash_counter_test.go
+++ b/quarantiner/crash_counter_test.go
@@ -88,3 +88,25 @@
 		}
 	})
 }
+
+// TestAnswersAtPeersMakeNoRecords guards against records of requests that never crashed anything here, which would evict those of crashes.
+func TestAnswersAtPeersMakeNoRecords(t *testing.T) {
+	var crashCounter CrashCounter
+	crashCounter.Merge("peer", map[string]int{"a": 0})
+	if !crashCounter.Empty() {
+		t.Error("a peer's report that a request was answered made a record")
+	}
+}
+
+// TestEvictionKeepsRecentRecords guards against dropping every record when all of them are equally old.
+func TestEvictionKeepsRecentRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var crashCounter CrashCounter
+		for i := range maxRecords + 1 {
+			crashCounter.Record(fmt.Sprint(i))
+		}
+		if count := len(crashCounter.records); count < maxRecords/2 {
+			t.Errorf("%d records of %d requests are left", count, maxRecords+1)
+		}
+	})
+}
--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -197,6 +197,7 @@
 			return err
 		}
 	}
+	_ = level.Info(rebalancer.logger).Log("event", "switch_not_seen", "version", version, "waited_ms", switchTimeout.Milliseconds())
 	return nil
 }
 
@@ -231,19 +232,22 @@
 	for range maxOrderAttempts {
 		order.Orders = rank.observation.Report.Orders
 		outcome, err := rank.client.Order(ctx, rebalancer.group.Name(), rebalancer.term, order)
-		if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
-			return false, eris.Wrapf(err, "order to rank %d", index)
-		}
 		if outcome == cranberryward.OrderAccepted {
 			rank.observation.Report.Orders++
 			return true, nil
 		}
+		if eris.Is(err, ErrTermEnded) {
+			return false, eris.Wrapf(err, "order to rank %d", index)
+		}
+		if ctx.Err() != nil {
+			return false, eris.Wrapf(ctx.Err(), "order to rank %d", index)
+		}
 		failure = err
 		before := rank.observation.Report.Orders
 		observation, err := rank.client.Observe(ctx, rebalancer.query())
 		if err != nil {
 			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
-				return false, eris.Wrapf(err, "order to rank %d", index)
+				return false, eris.Wrapf(err, "observe rank %d after an order", index)
 			}
 			failure = err
 			continue
--- a/router/cell.go
+++ b/router/cell.go
@@ -11,7 +11,8 @@
 
 const minServersPerCell = 24
 
-// Subset returns the backend servers of the zone that an entry routes among; its size is bounded however large the zone is.
+// Subset returns the backend servers of the zone that an entry routes among; the larger the zone, the smaller its share, of which a pool holds at most
+// MaxServers.
 func Subset(membership cranberryward.Membership, zone, entry string, keep func(cranberryward.Instance) bool) []cranberryward.Instance {
 	servers := membership.Select(func(instance cranberryward.Instance) bool {
 		return instance.Zone == zone && keep(instance)
@@ -27,9 +28,6 @@
 		}
 		servers = kept
 	}
-	if len(servers) > MaxServers {
-		servers = servers[:MaxServers]
-	}
 	return servers
 }
 
