relayer: loads, crashes and ages are spread by a few processes of each zone

Cause: the controller of the large deployment sent the load of 192 ranks to 149 entries at each observation, some 390 kB a second of a link of 750 kB; each agent told all processes a change of its group, and a process that had read the store told 340 others.

Change: up to twelve recipients get a notice from its sender; of more, two of each zone get it, and whoever gets a notice for the first time forwards it to four others of its zone. A notice has a number, so that it is handled and forwarded once and an older load never replaces a newer one. Of a group's change only the first report is forwarded, and only to entries.

Result: TestSpreadReachesEntries (the pattern: 149 entries in five zones, ten notices a second), TestSequences, TestGroupNews.

--- a/relayer/crashes.go
+++ b/relayer/crashes.go
@@ -6,5 +6,5 @@
 		From:    relayer.options.Address,
 		Crashed: crashed,
 	}
-	relayer.send(notice, relayer.entryAddresses())
+	relayer.spread(notice, true)
 }
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -24,18 +24,7 @@
 		}
 		notice.Busy.Counts = append(notice.Busy.Counts, byte(min(count, unknownCount)))
 	}
-	relayer.send(notice, relayer.entryAddresses())
-}
-
-// entryAddresses returns the addresses of the live entries.
-func (relayer *Relayer) entryAddresses() []string {
-	var entries []string
-	for _, notice := range relayer.LivePeers() {
-		if notice.Entry {
-			entries = append(entries, notice.From)
-		}
-	}
-	return entries
+	relayer.spread(notice, true)
 }
 
 // loadByID returns the counts of a notice by backend server ID, or nil if the notice is about another set of backend servers than the current
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -31,6 +31,8 @@
 	Group *cranberryward.GroupState `json:"group,omitempty"`
 	// Crashed counts the backend servers that each of a few requests, by fingerprint, recently crashed at this entry.
 	Crashed map[string]int `json:"crashed,omitempty"`
+	// Spread is set if the notice is to be forwarded.
+	Spread *Spread `json:"spread,omitempty"`
 	// Busy is the load of a service's backend servers.
 	Busy *ServiceLoad `json:"busy,omitempty"`
 }
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -51,6 +51,14 @@
 		if json.Unmarshal(buffer[:n], &notice) != nil || notice.From == "" || notice.From == relayer.options.Address {
 			continue
 		}
+		if notice.Spread != nil {
+			if notice.Spread.Sender == relayer.options.Address || !relayer.received.isNew(*notice.Spread) {
+				continue
+			}
+			if notice.Group == nil || relayer.news.isNew(*notice.Group) {
+				relayer.forward(notice)
+			}
+		}
 		if notice.Busy != nil {
 			if relayer.options.OnLoad != nil {
 				relayer.options.OnLoad(cranberryward.GroupLoad{
@@ -75,14 +83,15 @@
 	}
 }
 
-// AnnounceGroup tells peers at once if the state of the group has changed.
+// AnnounceGroup tells the entries at once if the state of the group has changed.
 func (relayer *Relayer) AnnounceGroup(state cranberryward.GroupState) {
 	relayer.mutex.Lock()
 	changed := relayer.group == nil || *relayer.group != state
 	relayer.group = &state
 	relayer.mutex.Unlock()
 	if changed {
-		relayer.announce(true)
+		notice, _, _ := relayer.composeNotice()
+		relayer.spread(notice, true)
 	}
 }
 
@@ -174,7 +183,7 @@
 // announcePeriodically sends notices until the context ends.
 func (relayer *Relayer) announcePeriodically(ctx context.Context) {
 	for {
-		relayer.announce(false)
+		relayer.announce()
 		pause := announceInterval
 		if snapshot, _ := relayer.Snapshot(); snapshot == nil {
 			pause = helloInterval
@@ -187,20 +196,10 @@
 	}
 }
 
-// announce sends a notice to the live peers, a random selection of them unless it is urgent, and to a few unheard addresses.
-func (relayer *Relayer) announce(urgent bool) {
+// announce sends a notice to a random selection of the live peers and to a few unheard addresses.
+func (relayer *Relayer) announce() {
 	notice, live, unheard := relayer.composeNotice()
-	if !urgent && len(live) > announceFanout {
-		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		live = live[:announceFanout]
-	}
-	if urgent && len(live) == 0 {
-		live = append(live, unheard...)
-	} else {
-		rand.Shuffle(len(unheard), func(i, j int) { unheard[i], unheard[j] = unheard[j], unheard[i] })
-		live = append(live, unheard[:min(len(unheard), probeLimit)]...)
-	}
-	relayer.send(notice, live)
+	relayer.send(notice, append(choose(live, announceFanout), choose(unheard, probeLimit)...))
 }
 
 // announceChange tells a few peers at once of a changed snapshot, which fetch it and do the same.
@@ -215,10 +214,10 @@
 
 // announceAge tells all peers, in a small notice, that the snapshot was just read, so that they need not read the store themselves.
 func (relayer *Relayer) announceAge() {
-	notice, live, _ := relayer.composeNotice()
+	notice, _, _ := relayer.composeNotice()
 	notice.Running, notice.Group, notice.Peers = nil, nil, nil
 	notice.AgeOnly = true
-	relayer.send(notice, live)
+	relayer.spread(notice, false)
 }
 
 func (relayer *Relayer) send(notice Notice, addresses []string) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -57,6 +58,12 @@
 	fetchingSince    time.Time
 	group            *cranberryward.GroupState
 
+	// life identifies this run of the process, sequence numbers the notices that it spreads, and received holds those of others.
+	life     uint64
+	sequence atomic.Uint64
+	received sequences
+	news     groupNews
+
 	reads, failures int
 }
 
@@ -81,6 +88,7 @@
 		client:  client,
 		socket:  socket,
 		peers:   map[string]*peer{},
+		life:    rand.Uint64(),
 	}, nil
 }
 
