Controllers reach their ranks through a tree of the agents

The controller queried 192 agents for 3,840 counts each and sent each the differences of a map, the first one whole (13 kB): its 6 Mbit/s were full for seconds, prepare and the reports of its own rank timed out, renewals came late, and six terms in 44 s learned the map again. Ruled out: processor time (0.019 of a core at most).

Change: an agent sends a request to at most eight others (to sixteen if there are no more), each of which answers for its part of the ranks, with the parts in the order of the zones. Counts are added up on the way; reports take about 26 bytes; orders and the differences of a map go down the same way, a whole map packed. An agent that does not answer heads no part for 3 s; what the tree does not reach is asked one by one. The controller asks its own rank without a connection. Observations are 93 ms apart at 192 ranks (173 before).

TestSampler and TestCountsAreSentAsDeltas tested the rotating reads of counts and their differences by rank, which are gone. TestCountsArePassedOnOnce checks that every choice arrives once, after restarts too, and TestControllerLinkLoad bounds the load on the controller's link for the pattern of 192 ranks on 6 Mbit/s. All tests of the rebalancer now run through two levels of the tree. FuzzResults found a failure without a text that packing lost.

--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -51,6 +51,7 @@
 	client      *caller.Client
 	server      *caller.Server
 	rankService *rankService
+	surveyor    *surveyor
 	relayer     *relayer.Relayer
 
 	// estimator is used by the rebalancer of the current term only.
@@ -97,7 +98,14 @@
 		return nil, err
 	}
 	if settings.Rank != "" {
-		agent.rankService = newRankService(settings.Rank, agent.announceGroup)
+		tree := newTree(agent.client)
+		agent.rankService = newRankService(settings.Rank, tree, agent.announceGroup)
+		agent.surveyor = &surveyor{
+			tree:         tree,
+			local:        agent.rankService,
+			localAddress: settings.PeerAddress(),
+			changes:      &agent.changes,
+		}
 		if err := server.Register("Rank", agent.rankService); err != nil {
 			return nil, err
 		}
--- a/gateway/agent/counts.go
+++ b/gateway/agent/counts.go
@@ -1,75 +1,80 @@
 package agent
 
-import (
-	"sync"
+import "sync"
 
-	"github.com/rotisserie/eris"
-)
-
-// sentCounts are the counts as an agent last sent them, so that the next reply needs only what was added since; the zero value is ready to use.
-type sentCounts struct {
-	mutex  sync.Mutex
-	number uint64
-	born   int64
-	counts []int64
+// countsForwarder adds up the counts of a rank and those of the ranks that its agent answers for, until the agent has passed them on; the zero value is
+// ready to use.
+type countsForwarder struct {
+	mutex sync.Mutex
+	// last holds the counts as the rank last gave them, since its start at born.
+	last []int64
+	born int64
+	// unsent holds the counts that have not been passed on, among them what packing left out.
+	unsent []int64
 }
 
-// encode adds to a reply the increase of the counts since those of the given number, which the requester has; what rounding omits is sent the next
-// time.
-func (sentCounts *sentCounts) encode(reply *ObserveReply, counts []int64, born int64, after uint64) {
-	sentCounts.mutex.Lock()
-	defer sentCounts.mutex.Unlock()
-	reply.CountsSince = after != 0 && after == sentCounts.number && born == sentCounts.born && len(counts) == len(sentCounts.counts)
-	if !reply.CountsSince {
-		sentCounts.counts = make([]int64, len(counts))
-	}
-	unsent := make([]int64, len(counts))
-	for i, count := range counts {
-		unsent[i] = count - sentCounts.counts[i]
+// add adds the increase of the rank's counts since the last call; the counts of a rank that has restarted only set a new base.
+func (countsForwarder *countsForwarder) add(counts []int64, born int64) {
+	countsForwarder.mutex.Lock()
+	defer countsForwarder.mutex.Unlock()
+	if len(counts) == 0 {
+		return
 	}
-	var sent []int64
-	reply.CountsPacked, reply.CountsUnit, sent = packCounts(unsent)
-	for i := range sent {
-		sentCounts.counts[i] += sent[i]
+	increase := make([]int64, len(counts))
+	if born == countsForwarder.born && len(counts) == len(countsForwarder.last) {
+		for i, count := range counts {
+			increase[i] = max(count-countsForwarder.last[i], 0)
+		}
 	}
-	sentCounts.number++
-	sentCounts.born = born
-	reply.CountsNumber = sentCounts.number
+	countsForwarder.last, countsForwarder.born = counts, born
+	countsForwarder.addIncrease(increase)
 }
 
-// receivedCounts are the counts that a controller has of one rank; the zero value is ready to use.
-type receivedCounts struct {
-	incarnation uint64
-	number      uint64
-	counts      []int64
+// addOthers adds the counts that other agents passed on.
+func (countsForwarder *countsForwarder) addOthers(counts []int64) {
+	countsForwarder.mutex.Lock()
+	defer countsForwarder.mutex.Unlock()
+	countsForwarder.addIncrease(counts)
 }
 
-// numberFor returns the number of the counts that are known from an incarnation of an agent, or zero if there are none.
-func (receivedCounts *receivedCounts) numberFor(incarnation uint64) uint64 {
-	if receivedCounts.incarnation != incarnation {
-		return 0
+func (countsForwarder *countsForwarder) addIncrease(increase []int64) {
+	if len(increase) == 0 {
+		return
+	}
+	if len(countsForwarder.unsent) != len(increase) {
+		countsForwarder.unsent = make([]int64, len(increase))
+	}
+	for i, count := range increase {
+		countsForwarder.unsent[i] += count
 	}
-	return receivedCounts.number
 }
 
-// decode applies a reply and returns the counts since the rank's start; after an error, the next request asks for all counts.
-func (receivedCounts *receivedCounts) decode(reply ObserveReply) ([]int64, error) {
-	counts, err := unpackCounts(reply.CountsPacked, reply.CountsUnit)
-	if err == nil && reply.CountsSince && len(counts) != len(receivedCounts.counts) {
-		err = eris.Errorf("received %d counts, expected %d", len(counts), len(receivedCounts.counts))
+// take returns the counts to pass on, and keeps what rounding leaves out for the next time.
+func (countsForwarder *countsForwarder) take() (packed []byte, unit int64) {
+	countsForwarder.mutex.Lock()
+	defer countsForwarder.mutex.Unlock()
+	if len(countsForwarder.unsent) == 0 {
+		return nil, 0
 	}
-	if err != nil {
-		receivedCounts.reset()
-		return nil, err
-	}
-	if reply.CountsSince {
-		for i, count := range receivedCounts.counts {
-			counts[i] += count
-		}
+	packed, unit, sent := packCounts(countsForwarder.unsent)
+	for i := range sent {
+		countsForwarder.unsent[i] -= sent[i]
 	}
-	receivedCounts.incarnation, receivedCounts.number, receivedCounts.counts = reply.Life, reply.CountsNumber, counts
-	return counts, nil
+	return packed, unit
 }
 
-// reset makes the agent send all counts the next time, as a reply may have been lost.
-func (receivedCounts *receivedCounts) reset() { receivedCounts.number = 0 }
+// takeAll returns the counts without packing them.
+func (countsForwarder *countsForwarder) takeAll() []int64 {
+	countsForwarder.mutex.Lock()
+	defer countsForwarder.mutex.Unlock()
+	counts := countsForwarder.unsent
+	countsForwarder.unsent = nil
+	return counts
+}
+
+// reset forgets what was not passed on, as for the controller of a new term, which needs only what comes from now on.
+func (countsForwarder *countsForwarder) reset() {
+	countsForwarder.mutex.Lock()
+	defer countsForwarder.mutex.Unlock()
+	countsForwarder.unsent = nil
+}
--- a/gateway/agent/difference.go
+++ b/gateway/agent/difference.go
@@ -1,6 +1,12 @@
 package agent
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
+
+// wholeMap is the base of changes that hold every set and rank of a map.
+const wholeMap = math.MaxUint64
 
 // mapChanges returns the differences between two maps of the same shape.
 func mapChanges(before, after [][][]int) []MapChange {
@@ -32,3 +38,31 @@
 	}
 	return after
 }
+
+// wholeMapChanges returns the changes that make up a whole map.
+func wholeMapChanges(placement [][][]int) []MapChange {
+	var changes []MapChange
+	for set := range placement {
+		for rank, experts := range placement[set] {
+			changes = append(changes, MapChange{
+				Set:     set,
+				Rank:    rank,
+				Experts: experts,
+			})
+		}
+	}
+	return changes
+}
+
+// emptyMap returns a map without experts that has the sets and ranks of the changes.
+func emptyMap(changes []MapChange) [][][]int {
+	sets, ranks := 0, 0
+	for _, change := range changes {
+		sets, ranks = max(sets, change.Set+1), max(ranks, change.Rank+1)
+	}
+	placement := make([][][]int, sets)
+	for set := range placement {
+		placement[set] = make([][]int, ranks)
+	}
+	return placement
+}
--- a/gateway/agent/group.go
+++ b/gateway/agent/group.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"cmp"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -11,14 +13,10 @@
 	"github.com/go-kit/log/level"
 )
 
-const (
-	// countsLinkShare is the share of the instance's link that counts may use; maps, observations and snapshots need the rest.
-	countsLinkShare = 0.3
-	// bytesPerCount is the size of a packed count: about three bits.
-	bytesPerCount = 0.375
-)
+// Surveyor reaches the ranks through the tree of their agents.
+func (agent *Agent) Surveyor() rebalancer.Surveyor { return agent.surveyor }
 
-// Members returns the ranks that are currently registered.
+// Members returns the ranks that are currently registered, those of an availability zone next to each other.
 func (agent *Agent) Members() []rebalancer.Member {
 	snapshot, _ := agent.relayer.Snapshot()
 	if snapshot == nil {
@@ -52,6 +50,9 @@
 		})
 	}
 	agent.rankClients = clients // those of ranks that are gone are dropped
+	slices.SortFunc(members, func(a, b rebalancer.Member) int {
+		return cmp.Or(cmp.Compare(snapshot.Servers[a.ID].Zone, snapshot.Servers[b.ID].Zone), cmp.Compare(a.ID, b.ID))
+	})
 	return members
 }
 
@@ -111,11 +112,6 @@
 	return service.Engine
 }
 
-// CountsRate returns how many counts may be read per second over the link of this instance.
-func (agent *Agent) CountsRate() float64 {
-	return agent.settings.LinkMbps * 1e6 / 8 * countsLinkShare / bytesPerCount
-}
-
 // PauseObjective returns the shortest pause objective of the routes to the group's service.
 func (agent *Agent) PauseObjective() time.Duration {
 	snapshot, _ := agent.relayer.Snapshot()
--- a/gateway/agent/message_rank.go
+++ b/gateway/agent/message_rank.go
@@ -6,23 +6,12 @@
 )
 
 // ObserveRequest asks an agent for the state of its rank.
-type ObserveRequest struct {
-	Question rebalancer.Query
-	// CountsAfter is the number of the counts that the requester has, or zero if it has none.
-	CountsAfter uint64
-}
+type ObserveRequest struct{ Question rebalancer.Query }
 
 // ObserveReply is the state of a rank, with the incarnation of the agent that observed it.
 type ObserveReply struct {
 	Observation rebalancer.Observation
 	Life        uint64
-	// CountsNumber numbers the counts; it is zero if none were requested.
-	CountsNumber uint64
-	// CountsSince means that the counts are those added since the ones that the requester has.
-	CountsSince bool
-	// CountsPacked holds the packed counts, in multiples of CountsUnit; the observation does not hold them.
-	CountsPacked []byte
-	CountsUnit   int64
 }
 
 // OrderRequest asks an agent to pass an order to its rank; Life is the incarnation in which the agent learned the term.
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -39,15 +39,19 @@
 	// lastMap is the last map that an order held, and lastMapVersion is its version.
 	lastMap        [][][]int
 	lastMapVersion uint64
-	counts         sentCounts
+	// counts are those of the rank and of the ranks that this agent answers for.
+	counts countsForwarder
+	// tree passes requests on to the agents of other ranks.
+	tree *tree
 	// onReport is called with each report of the rank.
 	onReport   func(report cranberryward.RankReport)
 	lastReport time.Time
 }
 
-func newRankService(address string, onReport func(report cranberryward.RankReport)) *rankService {
+func newRankService(address string, tree *tree, onReport func(report cranberryward.RankReport)) *rankService {
 	return &rankService{
 		onReport:    onReport,
+		tree:        tree,
 		rank:        platform.NewRank(address),
 		incarnation: rand.Uint64(),
 		lastHeard:   time.Now().Add(startTimeout - electionTimeout),
@@ -56,46 +60,56 @@
 
 // Observe returns the state of the rank to the controller of the latest term.
 func (rankService *rankService) Observe(request ObserveRequest, reply *ObserveReply) error {
+	observation, err := rankService.observe(request.Question)
+	if err != nil {
+		return caller.EncodeError(err)
+	}
+	reply.Observation, reply.Life = observation, rankService.incarnation
+	return nil
+}
+
+// observe queries the rank for the controller of the latest term; its counts are added to those that are to be passed on.
+func (rankService *rankService) observe(query rebalancer.Query) (rebalancer.Observation, error) {
 	rankService.learnGroup()
-	query := request.Question
-	own := rankService.ownGroup(query.Group)
-	if own {
+	if rankService.ownGroup(query.Group) {
 		if err := rankService.acceptTerm(query.Term); err != nil {
-			return caller.EncodeError(err)
+			return rebalancer.Observation{}, err
 		}
 	} else {
 		query.Counts, query.Placement = false, false
 	}
-	observation, err := observe(rankService.rank, query)
+	observation, counts, err := observe(rankService.rank, query)
 	if err != nil {
-		return caller.EncodeError(err)
+		return rebalancer.Observation{}, err
 	}
 	rankService.recordReport(observation.Report)
+	rankService.counts.add(counts, observation.Report.Born)
 	observation.Fresh = true
-	if len(observation.Counts) > 0 {
-		rankService.counts.encode(reply, observation.Counts, observation.Report.Born, request.CountsAfter)
-		observation.Counts = nil
-	}
-	reply.Observation, reply.Life = observation, rankService.incarnation
-	return nil
+	return observation, nil
 }
 
 // Order passes an order from the controller of the latest term to the rank.
 func (rankService *rankService) Order(request OrderRequest, reply *OrderReply) error {
+	outcome, err := rankService.order(request)
+	reply.Answer = outcome
+	return caller.EncodeError(err)
+}
+
+func (rankService *rankService) order(request OrderRequest) (cranberryward.OrderOutcome, error) {
 	if request.Life != rankService.incarnation {
-		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonWrongIncarnation, "this agent has restarted"))
+		return cranberryward.OrderUnknown, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonWrongIncarnation, "this agent has restarted")
 	}
 	rankService.orderMutex.Lock()
 	defer rankService.orderMutex.Unlock()
 	if !rankService.ownGroup(request.Group) {
-		return caller.EncodeError(cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the rank belongs to another group than "+request.Group))
+		return cranberryward.OrderUnknown, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the rank belongs to another group than "+request.Group)
 	}
 	if err := rankService.acceptTerm(request.Term); err != nil {
-		return caller.EncodeError(err)
+		return cranberryward.OrderUnknown, err
 	}
 	order, err := rankService.expandOrder(request)
 	if err != nil {
-		return caller.EncodeError(err)
+		return cranberryward.OrderUnknown, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
@@ -103,8 +117,7 @@
 	if err != nil {
 		outcome = cranberryward.OrderUnknown
 	}
-	reply.Answer = outcome
-	return nil
+	return outcome, nil
 }
 
 // expandOrder returns the order with its whole map, which is made from the last one if only the changes were sent.
@@ -114,14 +127,18 @@
 		return order, nil
 	}
 	if request.Base != 0 {
-		if request.Base != rankService.lastMapVersion {
+		if request.Base != wholeMap && request.Base != rankService.lastMapVersion {
 			return order, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the map that the order's changes apply to is not known to this agent")
 		}
 		changes, err := unpackChanges(request.Changes)
 		if err != nil {
 			return order, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonConflict, "the changes of the map cannot be decoded").WithCause(err)
 		}
-		order.Map = applyChanges(rankService.lastMap, changes)
+		base := rankService.lastMap
+		if request.Base == wholeMap {
+			base = emptyMap(changes)
+		}
+		order.Map = applyChanges(base, changes)
 	}
 	rankService.lastMap, rankService.lastMapVersion = order.Map, order.Version
 	return order, nil
@@ -132,7 +149,7 @@
 	if _, known := rankService.lastGroup(); known {
 		return
 	}
-	if observation, err := observe(rankService.rank, rebalancer.Query{}); err == nil {
+	if observation, _, err := observe(rankService.rank, rebalancer.Query{}); err == nil {
 		rankService.recordReport(observation.Report)
 	}
 }
@@ -158,6 +175,9 @@
 	if term < rankService.term {
 		return cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonFenced, "a later term has begun")
 	}
+	if term > rankService.term {
+		rankService.counts.reset()
+	}
 	rankService.term, rankService.lastHeard = term, time.Now()
 	return nil
 }
@@ -182,7 +202,7 @@
 		if !idle {
 			continue
 		}
-		if observation, err := observe(rankService.rank, rebalancer.Query{}); err == nil {
+		if observation, _, err := observe(rankService.rank, rebalancer.Query{}); err == nil {
 			rankService.recordReport(observation.Report)
 		}
 	}
@@ -202,29 +222,24 @@
 	return time.Since(rankService.lastHeard)
 }
 
-// observe queries a rank for the data that a query names.
-func observe(rank *platform.Rank, query rebalancer.Query) (rebalancer.Observation, error) {
+// observe queries a rank for the data that a query names, and returns its counts since its start if they are of the reported epoch.
+func observe(rank *platform.Rank, query rebalancer.Query) (observation rebalancer.Observation, counts []int64, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), localTimeout)
 	defer cancel()
-	report, err := rank.Report(ctx)
-	if err != nil {
-		return rebalancer.Observation{}, err
+	if observation.Report, err = rank.Report(ctx); err != nil {
+		return observation, nil, err
 	}
-	observation := rebalancer.Observation{Report: report}
 	if query.Counts {
-		counts, epoch, err := rank.Counts(ctx)
+		all, epoch, err := rank.Counts(ctx)
 		if err != nil {
-			return rebalancer.Observation{}, err
+			return observation, nil, err
 		}
-		if epoch == report.Epoch {
-			observation.Counts = counts
+		if epoch == observation.Report.Epoch {
+			counts = all
 		}
 	}
 	if query.Placement {
 		observation.PlacementVersion, observation.Placement, err = rank.Placement(ctx)
-		if err != nil {
-			return rebalancer.Observation{}, err
-		}
 	}
-	return observation, nil
+	return observation, counts, err
 }
--- a/gateway/agent/rank_client.go
+++ b/gateway/agent/rank_client.go
@@ -19,7 +19,6 @@
 
 	mutex       sync.Mutex
 	incarnation uint64
-	counts      receivedCounts
 	// lastMap is the last map that the agent is known to have, and lastMapVersion is its version.
 	lastMap        [][][]int
 	lastMapVersion uint64
@@ -28,38 +27,44 @@
 // Observe returns the state of the rank.
 func (rankClient *rankClient) Observe(ctx context.Context, query rebalancer.Query) (rebalancer.Observation, error) {
 	var reply ObserveReply
-	rankClient.mutex.Lock()
-	request := ObserveRequest{
-		Question:    query,
-		CountsAfter: rankClient.counts.numberFor(rankClient.incarnation),
-	}
-	rankClient.mutex.Unlock()
-	err := rankClient.client.Call(ctx, rankClient.agentAddress, "Rank.Observe", request, &reply)
+	err := rankClient.client.Call(ctx, rankClient.agentAddress, "Rank.Observe", ObserveRequest{Question: query}, &reply)
 	if err == nil {
-		return rankClient.accept(reply)
+		rankClient.setIncarnation(reply.Life)
+		return reply.Observation, nil
 	}
-	rankClient.mutex.Lock()
-	rankClient.counts.reset()
-	rankClient.mutex.Unlock()
 	if failure := cranberryward.FailureOf(err); failure.Reason() == cranberryward.ReasonFenced {
 		return rebalancer.Observation{}, rebalancer.ErrTermEnded
 	} else if failure.Reason() != cranberryward.ReasonUnreachable {
 		return rebalancer.Observation{}, err
 	}
 	// Reading counts from another instance costs the whole group a pause, so only the state is requested.
-	return observe(rankClient.direct, rebalancer.Query{Placement: query.Placement})
+	observation, _, err := observe(rankClient.direct, rebalancer.Query{Placement: query.Placement})
+	return observation, err
 }
 
-// accept records the agent's incarnation and the counts of a reply, and returns the observation with the counts since the rank's start.
-func (rankClient *rankClient) accept(reply ObserveReply) (rebalancer.Observation, error) {
+// setIncarnation records the incarnation in which the agent learned the term.
+func (rankClient *rankClient) setIncarnation(incarnation uint64) {
 	rankClient.mutex.Lock()
 	defer rankClient.mutex.Unlock()
-	rankClient.incarnation = reply.Life
-	var err error
-	if reply.CountsNumber != 0 {
-		reply.Observation.Counts, err = rankClient.counts.decode(reply)
+	rankClient.incarnation = incarnation
+}
+
+// target returns the rank as a target of a request through the tree.
+func (rankClient *rankClient) target(orders uint64) Target {
+	rankClient.mutex.Lock()
+	defer rankClient.mutex.Unlock()
+	return Target{
+		Agent:  rankClient.agentAddress,
+		Life:   rankClient.incarnation,
+		Orders: orders,
 	}
-	return reply.Observation, err
+}
+
+// knownMap returns the last map that the agent is known to have, with its version, or nil and zero.
+func (rankClient *rankClient) knownMap() ([][][]int, uint64) {
+	rankClient.mutex.Lock()
+	defer rankClient.mutex.Unlock()
+	return rankClient.lastMap, rankClient.lastMapVersion
 }
 
 // Order sends the rank an order; of a map, only the differences to the last one are sent, because whole maps fill slow links.
--- a/gateway/agent/rank_test.go
+++ b/gateway/agent/rank_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/caller"
 	"github.com/cranberryward/cranberryward/rebalancer"
 	"github.com/cranberryward/cranberryward/standin/rankserver"
 )
@@ -14,7 +15,7 @@
 	group := rankserver.NewGroup(rankSettings)
 	server := httptest.NewServer(group.Rank(0))
 	t.Cleanup(server.Close)
-	service := newRankService(strings.TrimPrefix(server.URL, "http://"), func(cranberryward.RankReport) {})
+	service := newRankService(strings.TrimPrefix(server.URL, "http://"), newTree(caller.NewClient("")), func(cranberryward.RankReport) {})
 	var observed ObserveReply
 	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Group: rankSettings.Name, Term: 7}}, &observed); err != nil {
 		t.Fatal(err)
@@ -48,7 +49,7 @@
 	group := rankserver.NewGroup(rankSettings)
 	server := httptest.NewServer(group.Rank(0))
 	t.Cleanup(server.Close)
-	service := newRankService(strings.TrimPrefix(server.URL, "http://"), func(cranberryward.RankReport) {})
+	service := newRankService(strings.TrimPrefix(server.URL, "http://"), newTree(caller.NewClient("")), func(cranberryward.RankReport) {})
 	own := rebalancer.Query{
 		Group: rankSettings.Name,
 		Term:  7,
--- a/gateway/agent/rebalancer_test.go
+++ b/gateway/agent/rebalancer_test.go
@@ -41,11 +41,12 @@
 
 // testGroup is a group of stand-in ranks with an agent next to each, as a rebalancer sees it.
 type testGroup struct {
-	t       *testing.T
-	name    string
-	group   *rankserver.Group
-	members []rebalancer.Member
-	hot     atomic.Int64
+	t        *testing.T
+	name     string
+	group    *rankserver.Group
+	members  []rebalancer.Member
+	surveyor *surveyor
+	hot      atomic.Int64
 	// drift is the number of passes after which the hot expert changes, or zero if it stays.
 	drift atomic.Int64
 	// due counts the passes that were due, whether they began or not.
@@ -70,6 +71,11 @@
 	client := caller.NewClient("")
 	t.Cleanup(client.Close)
 	changes := &changesPacker{}
+	testGroup.surveyor = &surveyor{
+		tree:    newTree(client),
+		changes: changes,
+	}
+	testGroup.surveyor.tree.fanout, testGroup.surveyor.tree.flat = 2, 2 // the four ranks are reached through two levels
 	for index := range testGroup.group.RankCount() {
 		rank := httptest.NewServer(testGroup.group.Rank(index))
 		t.Cleanup(rank.Close)
@@ -78,7 +84,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := server.Register("Rank", newRankService(address, func(cranberryward.RankReport) {})); err != nil {
+		if err := server.Register("Rank", newRankService(address, testGroup.surveyor.tree, func(cranberryward.RankReport) {})); err != nil {
 			t.Fatal(err)
 		}
 		server.Start()
@@ -132,8 +138,8 @@
 	}
 }
 
-// CountsRate returns zero, for no bound.
-func (testGroup *testGroup) CountsRate() float64 { return 0 }
+// Surveyor reaches the ranks through the tree of their agents.
+func (testGroup *testGroup) Surveyor() rebalancer.Surveyor { return testGroup.surveyor }
 
 // Name returns the name of the group.
 func (testGroup *testGroup) Name() string { return testGroup.name }
--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -129,31 +129,31 @@
 
 // pollUnmatched observes the ranks whose last report does not match, and returns an error only if the open epoch or the term ended.
 func (rebalancer *Rebalancer) pollUnmatched(ctx context.Context, matches func(cranberryward.RankReport) bool) error {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	failures := make([]error, len(rebalancer.ranks))
-	var wait sync.WaitGroup
+	var members []Member
+	var unmatched []*rank
 	for i := range rebalancer.ranks {
-		rank := &rebalancer.ranks[i]
-		if matches(rank.observation.Report) {
-			continue
+		if rank := &rebalancer.ranks[i]; !matches(rank.observation.Report) {
+			members, unmatched = append(members, rank.member), append(unmatched, rank)
 		}
-		wait.Go(func() {
-			observation, err := rank.client.Observe(ctx, rebalancer.query())
-			if err == nil && (observation.Report.Epoch != rebalancer.epoch || !observation.Report.Open) {
-				err = errEpochEnded
-			}
-			if err == nil {
-				rank.observation.Report = observation.Report
-			}
-			failures[i] = err
-		})
 	}
-	wait.Wait()
-	for _, err := range failures {
-		if eris.Is(err, errEpochEnded) || eris.Is(err, ErrTermEnded) {
-			return err
+	if len(members) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	survey := rebalancer.group.Surveyor().Survey(ctx, members, rebalancer.query())
+	for i, rank := range unmatched {
+		if eris.Is(survey.Failures[i], ErrTermEnded) {
+			return survey.Failures[i]
+		}
+		if survey.Failures[i] != nil {
+			continue // it is asked again
+		}
+		report := survey.Observations[i].Report
+		if report.Epoch != rebalancer.epoch || !report.Open {
+			return errEpochEnded
 		}
+		rank.observation.Report = report
 	}
 	return nil
 }
@@ -189,7 +189,7 @@
 	// All ranks switch at the same pass, so observing one of them is enough.
 	first := rebalancer.ranks[:1]
 	for deadline := time.Now().Add(switchTimeout); time.Now().Before(deadline); {
-		observation, err := first[0].client.Observe(ctx, rebalancer.query())
+		observation, err := first[0].member.Client.Observe(ctx, rebalancer.query())
 		if err != nil || observation.Report.Epoch != rebalancer.epoch || observation.Report.Map == version {
 			return err
 		}
@@ -201,18 +201,25 @@
 	return nil
 }
 
-// sendOrderAll sends an order to all ranks concurrently and returns an error unless each has carried it out.
+// sendOrderAll sends an order to all ranks at once, again to those whose outcome is unknown, and returns an error unless each has carried it out.
 func (rebalancer *Rebalancer) sendOrderAll(ctx context.Context, order cranberryward.RankOrder, done func(cranberryward.RankReport) bool) error {
+	orders := make([]uint64, len(rebalancer.ranks))
+	for i, rank := range rebalancer.ranks {
+		orders[i] = rank.observation.Report.Orders
+	}
+	order.Epoch = rebalancer.epoch
+	results := rebalancer.group.Surveyor().OrderAll(ctx, rebalancer.members(), orders, rebalancer.group.Name(), rebalancer.term, order)
 	failures := make([]error, len(rebalancer.ranks))
 	var wait sync.WaitGroup
-	for i := range rebalancer.ranks {
-		wait.Go(func() {
-			accepted, err := rebalancer.sendOrder(ctx, i, order, done)
-			if err == nil && !accepted {
-				err = eris.Errorf("rank %d refused the order", i)
-			}
-			failures[i] = err
-		})
+	for i, result := range results {
+		switch {
+		case eris.Is(result.Err, ErrTermEnded):
+			return eris.Wrapf(result.Err, "order to rank %d", i)
+		case result.Outcome == cranberryward.OrderAccepted:
+			rebalancer.ranks[i].observation.Report.Orders++
+		default:
+			wait.Go(func() { failures[i] = rebalancer.settleOrder(ctx, i, order, done) })
+		}
 	}
 	wait.Wait()
 	for _, err := range failures {
@@ -223,6 +230,25 @@
 	return nil
 }
 
+// settleOrder finds out whether a rank has carried out an order whose outcome is unknown, and sends it again if it has not.
+func (rebalancer *Rebalancer) settleOrder(ctx context.Context, index int, order cranberryward.RankOrder, done func(cranberryward.RankReport) bool) error {
+	rank := &rebalancer.ranks[index]
+	if observation, err := rank.member.Client.Observe(ctx, rebalancer.query()); err == nil {
+		if observation.Report.Epoch != order.Epoch {
+			return errEpochEnded
+		}
+		rank.observation.Report = observation.Report
+		if done(observation.Report) {
+			return nil
+		}
+	}
+	accepted, err := rebalancer.sendOrder(ctx, index, order, done)
+	if err == nil && !accepted {
+		err = eris.Errorf("rank %d refused the order", index)
+	}
+	return err
+}
+
 // sendOrder sends a rank an order until it is known to be carried out or finally refused, and returns whether it was carried out. Each attempt
 // is valid only for the number of orders that the rank has begun, so that none takes effect twice or late.
 func (rebalancer *Rebalancer) sendOrder(ctx context.Context, index int, order cranberryward.RankOrder, done func(cranberryward.RankReport) bool) (bool, error) {
@@ -231,7 +257,7 @@
 	var failure error
 	for range maxOrderAttempts {
 		order.Orders = rank.observation.Report.Orders
-		outcome, err := rank.client.Order(ctx, rebalancer.group.Name(), rebalancer.term, order)
+		outcome, err := rank.member.Client.Order(ctx, rebalancer.group.Name(), rebalancer.term, order)
 		if outcome == cranberryward.OrderAccepted {
 			rank.observation.Report.Orders++
 			return true, nil
@@ -244,7 +270,7 @@
 		}
 		failure = err
 		before := rank.observation.Report.Orders
-		observation, err := rank.client.Observe(ctx, rebalancer.query())
+		observation, err := rank.member.Client.Observe(ctx, rebalancer.query())
 		if err != nil {
 			if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
 				return false, eris.Wrapf(err, "observe rank %d after an order", index)
--- a/rebalancer/demand.go
+++ b/rebalancer/demand.go
@@ -8,41 +8,22 @@
 // demandHalfLife is the half-life of the demand estimate; it is short because demand shifts within seconds.
 const demandHalfLife = 300 * time.Millisecond
 
-// demand estimates how often each expert is chosen, from counts that accumulate from the start of each rank.
+// demand estimates how often each expert is chosen, from the counts of all ranks.
 type demand struct {
-	loads      []float64
-	lastCounts map[int]rankCounts
-	decayedAt  time.Time
+	loads     []float64
+	decayedAt time.Time
 }
 
-type rankCounts struct {
-	born   int64
-	counts []int64
-}
-
-// observe adds the increase of one rank's counts since its last observation; counts of a restarted rank only set a new base.
-func (demand *demand) observe(rank int, born int64, counts []int64) {
+// add adds the choices of all ranks since the last call.
+func (demand *demand) add(counts []int64) {
 	if len(counts) == 0 {
 		return
 	}
-	if demand.lastCounts == nil {
-		demand.lastCounts = map[int]rankCounts{}
-	}
 	if len(demand.loads) != len(counts) {
 		demand.loads = make([]float64, len(counts))
 	}
-	before, known := demand.lastCounts[rank]
-	demand.lastCounts[rank] = rankCounts{
-		born:   born,
-		counts: counts,
-	}
-	if !known || before.born != born || len(before.counts) != len(counts) {
-		return
-	}
 	for i, count := range counts {
-		if delta := count - before.counts[i]; delta > 0 {
-			demand.loads[i] += float64(delta)
-		}
+		demand.loads[i] += float64(count)
 	}
 }
 
--- a/rebalancer/message_observation.go
+++ b/rebalancer/message_observation.go
@@ -5,8 +5,6 @@
 // Observation is the state of one rank at one time.
 type Observation struct {
 	Report cranberryward.RankReport
-	// Counts is how often each expert was chosen since the rank started, one set after the other; it is empty unless the query asked for it.
-	Counts []int64
 	// Placement lists the experts that the rank holds in each set under map version PlacementVersion, if the query asked for it.
 	Placement        [][]int
 	PlacementVersion uint64
--- a/rebalancer/observe.go
+++ b/rebalancer/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -19,78 +18,64 @@
 	}
 }
 
-// observe queries the members that may belong to the group concurrently, and keeps their ranks only if all ranks of the open group answered in the
-// same epoch.
+// observe queries the members that may belong to the group at once, and keeps their ranks only if all ranks of the open group answered in the same epoch.
 func (rebalancer *Rebalancer) observe(ctx context.Context, counts bool) error {
 	members := rebalancer.foreign.filter(rebalancer.group.Members(), time.Now())
-	var sampled map[string]bool
-	if counts {
-		sampled = rebalancer.sampler.choose(time.Now(), members, rebalancer.countsPerRank(), rebalancer.group.CountsRate())
-	}
-	observations := make([]Observation, len(members))
-	failures := make([]error, len(members))
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	var wait sync.WaitGroup
-	for i, member := range members {
-		wait.Go(func() {
-			query := rebalancer.query()
-			query.Counts = sampled[member.ID]
-			observations[i], failures[i] = member.Client.Observe(ctx, query)
-		})
-	}
-	wait.Wait()
+	query := rebalancer.query()
+	query.Counts = counts
+	survey := rebalancer.group.Surveyor().Survey(ctx, members, query)
 	now := time.Now()
 	rebalancer.demand.decay(now)
+	rebalancer.demand.add(survey.Counts)
+	ranks, failure := rebalancer.ownRanks(members, survey, now)
+	if eris.Is(failure, ErrTermEnded) {
+		return failure
+	}
+	rebalancer.publishReports(ranks)
+	rebalancer.ranks = rebalancer.completeGroup(ranks)
+	if len(rebalancer.ranks) == 0 && failure != nil {
+		return failure
+	}
+	rebalancer.updatePassTime(now)
+	return nil
+}
+
+// ownRanks returns the ranks of the group that answered a survey, and ErrTermEnded or the last failure, if any.
+func (rebalancer *Rebalancer) ownRanks(members []Member, survey Survey, now time.Time) ([]rank, error) {
 	ranks := make([]rank, 0, len(members))
 	var failure error
 	for i, member := range members {
-		if eris.Is(failures[i], ErrTermEnded) {
-			return failures[i]
-		}
-		if failures[i] != nil {
-			failure = eris.Wrapf(failures[i], "observe %s", member.ID)
+		if err := survey.Failures[i]; err != nil {
+			if eris.Is(err, ErrTermEnded) {
+				return nil, err
+			}
+			failure = eris.Wrapf(err, "observe %s", member.ID)
 			continue
 		}
-		foreign := observations[i].Report.Group != rebalancer.group.Name()
+		foreign := survey.Observations[i].Report.Group != rebalancer.group.Name()
 		rebalancer.foreign.record(member.ID, foreign, now)
 		if foreign {
 			continue
 		}
-		rebalancer.demand.observe(observations[i].Report.Rank, observations[i].Report.Born, observations[i].Counts)
 		ranks = append(ranks, rank{
-			id:          member.ID,
-			client:      member.Client,
-			observation: observations[i],
+			member:      member,
+			observation: survey.Observations[i],
 		})
 	}
-	rebalancer.publishReports(ranks)
-	rebalancer.ranks = rebalancer.completeGroup(ranks)
-	if len(rebalancer.ranks) == 0 && failure != nil {
-		return failure
-	}
-	rebalancer.updatePassTime(now)
-	return nil
+	return ranks, failure
 }
 
 // publishReports passes the reports of the ranks that answered to the group.
 func (rebalancer *Rebalancer) publishReports(ranks []rank) {
 	reports := make(map[string]cranberryward.RankReport, len(ranks))
 	for _, rank := range ranks {
-		reports[rank.id] = rank.observation.Report
+		reports[rank.member.ID] = rank.observation.Report
 	}
 	rebalancer.group.HandleReports(reports, rebalancer.passTime)
 }
 
-// countsPerRank returns the number of counts of a rank: one for each expert of each set.
-func (rebalancer *Rebalancer) countsPerRank() int {
-	engine := rebalancer.group.Engine()
-	if engine == nil {
-		return 0
-	}
-	return engine.Sets * engine.Experts
-}
-
 // completeGroup returns the ranks of the latest epoch in order of their index, and nil if any is missing or not open.
 func (rebalancer *Rebalancer) completeGroup(ranks []rank) []rank {
 	if len(ranks) == 0 {
@@ -106,7 +91,7 @@
 	found := 0
 	for _, rank := range ranks {
 		report := rank.observation.Report
-		if report.Epoch != epoch || !report.Open || report.Rank < 0 || report.Rank >= size || ordered[report.Rank].client != nil {
+		if report.Epoch != epoch || !report.Open || report.Rank < 0 || report.Rank >= size || ordered[report.Rank].member.Client != nil {
 			continue
 		}
 		ordered[report.Rank] = rank
@@ -158,12 +143,13 @@
 	for set := range placement {
 		placement[set] = make([][]int, len(rebalancer.ranks))
 	}
-	for i := range rebalancer.ranks {
-		query := rebalancer.query()
-		query.Placement = true
-		observation, err := rebalancer.ranks[i].client.Observe(ctx, query)
-		if err != nil {
-			return eris.Wrapf(err, "read the placement of rank %d", i)
+	members := rebalancer.members()
+	query := rebalancer.query()
+	query.Placement = true
+	survey := rebalancer.group.Surveyor().Survey(ctx, members, query)
+	for i, observation := range survey.Observations {
+		if survey.Failures[i] != nil {
+			return eris.Wrapf(survey.Failures[i], "read the placement of rank %d", i)
 		}
 		if observation.PlacementVersion != version || len(observation.Placement) != engine.Sets {
 			return eris.Errorf("rank %d reports map %d with %d sets, expected map %d with %d sets", i, observation.PlacementVersion, len(observation.Placement), version, engine.Sets)
@@ -176,3 +162,12 @@
 	_ = level.Info(rebalancer.logger).Log("event", "map_learned", "version", version, "epoch", rebalancer.epoch)
 	return nil
 }
+
+// members returns the members of the complete group, in the order of their ranks.
+func (rebalancer *Rebalancer) members() []Member {
+	members := make([]Member, 0, len(rebalancer.ranks))
+	for _, rank := range rebalancer.ranks {
+		members = append(members, rank.member)
+	}
+	return members
+}
--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -42,14 +42,14 @@
 type Group interface {
 	// Name returns the name of the group; the other groups of the same service have other names.
 	Name() string
+	// Surveyor reaches all members at once.
+	Surveyor() Surveyor
 	// Members returns the backend servers that are currently registered for the service.
 	Members() []Member
 	// Engine returns the published cost model, or nil before the configuration is known.
 	Engine() *cranberryward.EngineCostModel
 	// PauseObjective returns the longest pause between events that counts as on time, or zero if none is configured.
 	PauseObjective() time.Duration
-	// CountsRate returns how many counts may be read in a second, or zero for no limit.
-	CountsRate() float64
 	// HandleReports is called after each observation with the reports of the ranks that answered, by the ids of their backend servers, and with the
 	// pass time, zero if unknown.
 	HandleReports(reports map[string]cranberryward.RankReport, pass time.Duration)
@@ -63,7 +63,6 @@
 
 	demand         demand
 	foreign        foreignRanks
-	sampler        sampler
 	ranks          []rank
 	epoch          uint64
 	placement      [][][]int
@@ -78,8 +77,7 @@
 
 // rank is one rank of a complete group with its last observation.
 type rank struct {
-	id          string
-	client      RankClient
+	member      Member
 	observation Observation
 }
 
@@ -119,9 +117,9 @@
 	}
 }
 
-// interval returns the pause between observations, which grows with the square root of the group size: it doubles for four times the ranks.
+// interval returns the pause between observations, which grows with the fourth root of the group size: it doubles for sixteen times the ranks.
 func (rebalancer *Rebalancer) interval() time.Duration {
-	growth := math.Sqrt(float64(len(rebalancer.ranks)) / baseIntervalRanks)
+	growth := math.Sqrt(math.Sqrt(float64(len(rebalancer.ranks)) / baseIntervalRanks))
 	return time.Duration(float64(observeInterval) * max(growth, 1))
 }
 
