Readers of the store take turns, and notices stay in their zone mostly

Cause: an entry read the store between 0.45 and 0.68 s after the last read, at random: of 149 entries, some twenty did so before the notice of the first one reached them, 27 calls a second in all. Periodic notices went to twelve random peers, four of five of them in other zones: 3.5 MB a second.

Change: the processes of a kind are ordered by rendezvous hash; each reads 40 ms after the one before it would have, at most a second late. Nine of twelve periodic notices stay in the zone. A notice carries the number of entries of its zone, so that an entry that has heard one process of a zone counts all entries there; a peer of another zone counts as live for a minute at most.

--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -185,17 +185,12 @@
 		case <-ticker.C:
 		}
 		peerLoads := map[string]int{}
-		entries := int64(1)
 		for _, notice := range entry.relayer.LivePeers() {
-			if !notice.Entry {
-				continue
-			}
-			entries++
 			for id, running := range notice.Running {
 				peerLoads[id] += running
 			}
 		}
-		entry.maxEntries.Store(max(entries, entry.maxEntries.Load()))
+		entry.maxEntries.Store(max(int64(entry.relayer.CountEntries()), entry.maxEntries.Load()))
 		entry.forwarder.SetPeerLoads(peerLoads)
 		if crashed := entry.forwarder.RecentCrashes(); len(crashed) > 0 {
 			entry.relayer.AnnounceCrashes(crashed)
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -23,6 +23,8 @@
 	AgeMS    int64    `json:"age_ms"`
 	Content  uint64   `json:"content"`
 	Peers    []string `json:"peers,omitempty"`
+	// Entries is the number of live entries in the sender's availability zone.
+	Entries int `json:"entries,omitempty"`
 	// AgeOnly means that the notice is about the snapshot only, and that its recipients keep the rest of the sender's previous notice.
 	AgeOnly bool `json:"age_only,omitempty"`
 	// Running counts this entry's requests at each backend server, by ID.
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -16,8 +16,6 @@
 const (
 	// announceInterval is how often a process sends a notice to its peers.
 	announceInterval = 500 * time.Millisecond
-	// peerExpiry is how long a silent peer counts as live if each notice goes to all peers: five notices may be lost.
-	peerExpiry = 6 * announceInterval
 	// peerRetention is how long a silent peer is still probed, as after a partition.
 	peerRetention = time.Minute
 	// probeLimit bounds the unheard addresses that are probed in one round of notices.
@@ -26,8 +24,10 @@
 	maxNotice = 64 << 10
 	// maxPeersPerNotice bounds the peers that a notice names; each notice names a random selection.
 	maxPeersPerNotice = 8
-	// announceFanout bounds the peers that a periodic notice goes to, selected at random each time.
-	announceFanout = 12
+	// announceFanout bounds the peers that a periodic notice goes to, selected at random each time, and otherZoneFanout those of them in other availability
+	// zones, as traffic between zones is charged.
+	announceFanout  = 12
+	otherZoneFanout = 3
 	// changeFanout is how many peers a process tells of a changed snapshot, each of which does the same: three rounds reach two hundred processes.
 	changeFanout = 6
 	// fetchRetryDelay is how long a fetch may take before another peer with an equally new snapshot is asked.
@@ -105,7 +105,7 @@
 	}
 	wantsReply := notice.At == 0 && relayer.snapshot != nil
 	known.lastHeard = now
-	if !notice.AgeOnly {
+	if !notice.AgeOnly || known.notice.From == "" {
 		known.notice = notice
 	}
 	for _, address := range notice.Peers {
@@ -141,11 +141,6 @@
 	}
 }
 
-// expiry returns how long a silent peer counts as live: the more peers there are, the longer, because each gets a notice less often.
-func (relayer *Relayer) expiry() time.Duration {
-	return peerExpiry * time.Duration(len(relayer.peers)/announceFanout+1)
-}
-
 // fetch copies the newer snapshot of a peer: it requests only the differences to the current one, and then the whole snapshot if it cannot be
 // reconstructed from them.
 func (relayer *Relayer) fetch(address string) {
@@ -199,7 +194,20 @@
 // announce sends a notice to a random selection of the live peers and to a few unheard addresses.
 func (relayer *Relayer) announce() {
 	notice, live, unheard := relayer.composeNotice()
-	relayer.send(notice, append(choose(live, announceFanout), choose(unheard, probeLimit)...))
+	if len(live) > announceFanout {
+		live = relayer.chooseByZone()
+	}
+	relayer.send(notice, append(live, choose(unheard, probeLimit)...))
+}
+
+// chooseByZone returns announceFanout live peers, most of them of the own availability zone.
+func (relayer *Relayer) chooseByZone() []string {
+	peers := relayer.liveByZone(false)
+	own := peers[relayer.options.Zone]
+	delete(peers, relayer.options.Zone)
+	others := slices.Concat(slices.Collect(maps.Values(peers))...)
+	chosen := choose(others, otherZoneFanout)
+	return append(choose(own, announceFanout-len(chosen)), chosen...)
 }
 
 // announceChange tells a few peers at once of a changed snapshot, which fetch it and do the same.
@@ -241,11 +249,18 @@
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	now := time.Now()
-	expiry := relayer.expiry()
+	expiries := relayer.expiries()
+	entries := 0
+	if relayer.options.Entry {
+		entries++
+	}
 	for address, peer := range relayer.peers {
 		switch {
-		case !peer.lastHeard.IsZero() && now.Sub(peer.lastHeard) < expiry:
+		case expiries.live(peer, now):
 			live = append(live, address)
+			if peer.notice.Entry && peer.notice.Zone == relayer.options.Zone {
+				entries++
+			}
 		case !peer.lastHeard.IsZero() && now.Sub(peer.lastHeard) > peerRetention:
 			delete(relayer.peers, address)
 		}
@@ -256,6 +271,7 @@
 		Instance: relayer.options.Instance,
 		Entry:    relayer.options.Entry,
 		Zone:     relayer.options.Zone,
+		Entries:  entries,
 		Running:  running,
 		Group:    relayer.group,
 	}
@@ -294,9 +310,9 @@
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	var notices []Notice
-	now, expiry := time.Now(), relayer.expiry()
+	now, expiries := time.Now(), relayer.expiries()
 	for _, peer := range relayer.peers {
-		if !peer.lastHeard.IsZero() && now.Sub(peer.lastHeard) < expiry {
+		if expiries.live(peer, now) {
 			notices = append(notices, peer.notice)
 		}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -167,18 +167,14 @@
 	return max(retry, min(time.Duration(peers+1)*retrySpacing, maxSharedRetryPause))
 }
 
-// timeUntilRefresh returns how long the snapshot stays fresh enough, with jitter so that one process reads and the others copy.
+// timeUntilRefresh returns how long the snapshot stays fresh enough, which differs among the processes so that one reads and the others copy.
 func (relayer *Relayer) timeUntilRefresh() time.Duration {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	if relayer.snapshot == nil {
 		return 0
 	}
-	due := relayer.options.RefreshAge - time.Since(relayer.readAt)
-	if due <= 0 {
-		return 0
-	}
-	return due + time.Duration(rand.Int64N(int64(relayer.options.RefreshAge/2)))
+	return max(relayer.options.RefreshAge+relayer.readDelay()-time.Since(relayer.readAt), 0)
 }
 
 func (relayer *Relayer) read(ctx context.Context, timeout time.Duration) error {
--- a/relayer/spread.go
+++ b/relayer/spread.go
@@ -126,9 +126,9 @@
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	peers := map[string][]string{}
-	now, expiry := time.Now(), relayer.expiry()
+	now, expiries := time.Now(), relayer.expiries()
 	for address, peer := range relayer.peers {
-		if peer.lastHeard.IsZero() || now.Sub(peer.lastHeard) >= expiry || entriesOnly && !peer.notice.Entry {
+		if !expiries.live(peer, now) || entriesOnly && !peer.notice.Entry {
 			continue
 		}
 		peers[peer.notice.Zone] = append(peers[peer.notice.Zone], address)
