Candidates for a group's lease take turns

Cause: at each loss of a controller all 192 agents of a group requested its lease within seconds, some 170 of them in vain; 389 did so before they knew their group.

Change: the agents of a group are ordered by rendezvous hash; the first twenty request the lease 100 ms apart, the others spread over the three seconds after. One that does not know its group waits without a call.

--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -30,10 +30,14 @@
 	renewInterval = 400 * time.Millisecond
 	// electionTimeout is how long an agent hears no controller before it requests the lease; a controller observes each rank many times in that time.
 	electionTimeout = 1000 * time.Millisecond
-	// campaignJitter keeps agents from requesting the lease at the same moment.
-	campaignJitter = 600 * time.Millisecond
-	// agentsPerJitter is the number of agents that one campaignJitter is meant for; the jitter grows with the number of agents.
-	agentsPerJitter = 16
+	// candidateSpacing is the time after which the next agent requests the lease if the one before it has not been heard: three calls to the store and a
+	// survey take less.
+	candidateSpacing = 100 * time.Millisecond
+	// staggeredCandidates is the number of agents that request the lease one after the other; the others follow spread over lateCandidates.
+	staggeredCandidates = 20
+	lateCandidates      = 3 * time.Second
+	// groupRetry is the pause before an agent looks again whether it knows its group.
+	groupRetry = 50 * time.Millisecond
 	// storeTimeout bounds a call to the store, which answers in milliseconds.
 	storeTimeout = time.Second
 	// announceInterval is how often the controller tells the entries the load of the ranks, by which they distribute requests.
@@ -181,20 +185,18 @@
 
 // campaign tries to acquire the group's lease whenever no controller is heard.
 func (agent *Agent) campaign(ctx context.Context) {
-	for {
-		spread := time.Duration(rand.Int64N(int64(campaignJitter) * int64(max(len(agent.Members())/agentsPerJitter, 1))))
-		if sleep(ctx, spread) != nil {
-			return
-		}
-		if wait := electionTimeout - agent.rankService.silence(); wait > 0 {
-			if sleep(ctx, wait) != nil {
-				return
-			}
-			continue
-		}
+	for ctx.Err() == nil {
 		if !agent.knowsGroup() {
+			_ = sleep(ctx, groupRetry) // the loop ends with the context
 			continue
 		}
+		delay := candidateDelay(agent.candidatePosition())
+		if wait := electionTimeout + delay - agent.rankService.silence(); wait > 0 {
+			_ = sleep(ctx, wait) // the loop ends with the context
+			if agent.rankService.silence() < electionTimeout {
+				continue
+			}
+		}
 		if err := agent.lead(ctx); err != nil && ctx.Err() == nil {
 			_ = level.Info(agent.logger).Log("event", "campaign_failed", "error", err)
 			// Another agent holds the lease, or the store does not answer: either way this one waits as if a controller had been heard.
@@ -203,6 +205,32 @@
 	}
 }
 
+// candidateDelay returns how long after electionTimeout the agent at a position requests the lease.
+func candidateDelay(position int) time.Duration {
+	delay := time.Duration(min(position, staggeredCandidates)) * candidateSpacing
+	if position >= staggeredCandidates {
+		delay += rand.N(lateCandidates)
+	}
+	return delay
+}
+
+// candidatePosition returns the position of this agent in the order in which the agents of the group request its lease. Which members of the service belong
+// to other groups is not known here, so the position among all of them is scaled to the size of the group.
+func (agent *Agent) candidatePosition() int {
+	position := 0
+	key, members := agent.groupKey(), agent.Members()
+	own := cranberryward.RendezvousWeight(key, agent.settings.PeerAddress())
+	for _, member := range members {
+		if cranberryward.RendezvousWeight(key, member.Client.(*rankClient).agentAddress) > own {
+			position++
+		}
+	}
+	if size := agent.rankService.groupSize(); size < len(members) {
+		position = position * size / len(members)
+	}
+	return position
+}
+
 // knowsGroup returns whether the name, the cost model and the ranks of the group are known, without which it cannot be controlled.
 func (agent *Agent) knowsGroup() bool {
 	_, known := agent.rankService.lastGroup()
--- a/gateway/agent/rank.go
+++ b/gateway/agent/rank.go
@@ -31,6 +31,7 @@
 
 	mutex     sync.Mutex
 	group     string
+	size      int
 	reported  bool
 	term      uint64
 	lastHeard time.Time
@@ -168,6 +169,13 @@
 	return rankService.group, rankService.reported
 }
 
+// groupSize returns the number of ranks of the group that the rank last reported.
+func (rankService *rankService) groupSize() int {
+	rankService.mutex.Lock()
+	defer rankService.mutex.Unlock()
+	return rankService.size
+}
+
 // acceptTerm records a later term, and returns an error for an earlier one.
 func (rankService *rankService) acceptTerm(term uint64) error {
 	rankService.mutex.Lock()
@@ -188,7 +196,7 @@
 	if rankService.group != report.Group {
 		rankService.term = 0 // the terms of another group do not compare with those of this one
 	}
-	rankService.group, rankService.reported = report.Group, true
+	rankService.group, rankService.size, rankService.reported = report.Group, report.Size, true
 	rankService.mutex.Unlock()
 	rankService.onReport(report)
 }
