Bytes without end from a backend server are bounded at every place

Cause: a response's status and headers, the headers of informational responses, the rest of a response that is discarded and an event of a stream with many short lines were read until the connection was closed.

Change: a head may have 64 KiB, a discarded rest and an event 256 KiB, a body 8 MiB, and all bodies that are read at once a quarter of the memory limit; at the bound the connection is reset and the caller is answered as before: the request may have run, unless the backend server said otherwise. The store's, the ranks' and the own interface's responses may have 64 KiB of headers, and requests to the ready and metrics addresses 16 KiB.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -24,6 +24,7 @@
 type connection struct {
 	net.Conn
 	reader    *bufio.Reader
+	head      *headReader
 	address   string
 	idleSince time.Time
 	idleLimit time.Duration
@@ -32,9 +33,11 @@
 }
 
 func newConnection(conn net.Conn, address string) *connection {
+	head := &headReader{source: conn}
 	return &connection{
 		Conn:      conn,
-		reader:    bufio.NewReaderSize(conn, readBufferSize),
+		head:      head,
+		reader:    bufio.NewReaderSize(head, readBufferSize),
 		address:   address,
 		idleLimit: defaultIdleLimit,
 	}
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -109,7 +109,7 @@
 			return nil
 		}
 		response.connection.broken = true
-		if _, err := io.Copy(io.Discard, httpResponse.Body); err != nil {
+		if err := discard(httpResponse.Body); err != nil {
 			return err
 		}
 	}
@@ -118,6 +118,8 @@
 
 // readFinalHead reads the status and headers of the next response that is not informational.
 func (response *Response) readFinalHead(httpRequest *http.Request) (*http.Response, error) {
+	response.connection.head.beginHead()
+	defer response.connection.head.endHead()
 	for range maxInformational {
 		httpResponse, err := http.ReadResponse(response.connection.reader, httpRequest)
 		if err != nil || httpResponse.StatusCode >= 200 {
@@ -132,15 +134,24 @@
 
 // ReadAll returns the whole body, or an error if it is longer than the limit in bytes.
 func (response *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.httpResponse.Body, limit+1))
-	if err != nil {
-		return nil, eris.Wrapf(err, "response body cut off after %d bytes", len(body))
-	}
-	if int64(len(body)) > limit {
-		return nil, eris.Errorf("response body longer than %d bytes", limit)
+	body, err := readBody(response.httpResponse.Body, limit, &response.connector.buffers)
+	response.complete = err == nil
+	return body, err
+}
+
+// Discard reads the rest of the body without keeping it, and returns an error if it is long.
+func (response *Response) Discard() error {
+	err := discard(response.httpResponse.Body)
+	response.complete = err == nil
+	return err
+}
+
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
+	if err == nil && n > maxDiscardedBytes {
+		return errTooManyBytes
 	}
-	response.complete = true
-	return body, nil
+	return eris.Wrapf(err, "discard the rest of a response after %d bytes", n)
 }
 
 // MarkComplete records that the body was read to its end, which Finish requires to keep the connection.
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -20,6 +20,7 @@
 	idleTimeout       = 30 * time.Second
 	headerTimeout     = 30 * time.Second
 	maxIdlePerHost    = 64
+	maxHeadBytes      = 64 << 10
 	maxErrorBytes     = 64 << 10
 	maxResponseBytes  = 16 << 20
 	contentTypeJSON   = "application/json"
@@ -30,13 +31,14 @@
 // NewTransport returns an HTTP transport that reuses connections.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   maxIdlePerHost,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
-		ReadBufferSize:        bufferSizeBytes,
-		WriteBufferSize:       bufferSizeBytes,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  headerTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		ReadBufferSize:         bufferSizeBytes,
+		WriteBufferSize:        bufferSizeBytes,
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,7 +21,7 @@
 	// minSendTime is the least time before the deadline in which a send can still deliver a response to the caller.
 	minSendTime = 30 * time.Millisecond
 	// maxResponseBytes bounds the body of a response that is buffered until it is complete.
-	maxResponseBytes = 16 << 20
+	maxResponseBytes = 8 << 20
 	// defaultTimeout applies to a request for which neither the caller nor the route sets a time-out.
 	defaultTimeout = 30 * time.Second
 	// maxWaitShare is the share of a route's latency objective that a request may wait for a slot; the rest is left for the prefill of its prompt.
@@ -66,6 +66,7 @@
 		},
 		requestLog: requestLog{logger: options.Logger},
 	}
+	forwarder.connector.LimitBuffers(options.BufferBytes)
 	return forwarder
 }
 
--- a/forwarder/message_options.go
+++ b/forwarder/message_options.go
@@ -14,5 +14,7 @@
 	RetryWindow time.Duration
 	// Entries returns how many entries share the retry budget.
 	Entries func() int
-	Logger  log.Logger
+	// BufferBytes bounds the memory of all responses that are being read at once; zero sets no limit.
+	BufferBytes int64
+	Logger      log.Logger
 }
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -123,7 +123,7 @@
 
 // discardBody reads the rest of a response that is not needed, so that its connection can be reused.
 func (forwarder *Forwarder) discardBody(response *connector.Response) {
-	if _, err := response.ReadAll(maxResponseBytes); err != nil {
+	if err := response.Discard(); err != nil {
 		response.Abort()
 		return
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxEventBytes bounds an event; it is checked only at a line that does not fit into the read buffer.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds an event.
+	maxEventBytes = 256 << 10
 	// resumeDelay gives a group that lost a rank time to reopen before its streams are resumed.
 	resumeDelay = 150 * time.Millisecond
 	// maxResumeWait bounds the wait for a group to reopen; callers leave after a pause of two seconds.
@@ -28,6 +28,9 @@
 // errTruncatedEvent means that a stream ended within an event.
 var errTruncatedEvent = eris.New("stream ended within an event")
 
+// errEventTooLong means that an event is longer than maxEventBytes.
+var errEventTooLong = eris.Errorf("stream with an event longer than %d bytes", maxEventBytes)
+
 // relay copies the events of one stream to its caller, from one backend server and then from those that resume the stream.
 type relay struct {
 	writer     http.ResponseWriter
@@ -186,7 +189,9 @@
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(event) < maxEventBytes:
+		case len(event) > maxEventBytes:
+			return errEventTooLong
+		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF:
 			return relay.finishBody(response, event)
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -38,6 +38,10 @@
 	// defaultIdleTimeout and defaultHeaderTimeout apply before a configuration sets limits for callers' connections.
 	defaultIdleTimeout   = 15 * time.Second
 	defaultHeaderTimeout = 3 * time.Second
+	// bufferMemoryDivisor is the divisor of the memory limit that gives the memory for responses that are being read.
+	bufferMemoryDivisor = 4
+	// maxProbeHeaderBytes bounds the headers of readiness checks.
+	maxProbeHeaderBytes = 16 << 10
 	// headerAllowance is added to the configured limit for headers, because net/http counts the request line too.
 	headerAllowance = 4 << 10
 )
@@ -75,6 +79,7 @@
 		RetrySlack:  settings.RetrySlack,
 		RetryWindow: settings.RetryWindow(),
 		Entries:     entry.entryCount,
+		BufferBytes: settings.MemoryMB << 20 / bufferMemoryDivisor,
 		Logger:      logger,
 	})
 	server, err := caller.NewServer(settings.PeerAddress(), "")
@@ -129,6 +134,7 @@
 			server := &http.Server{
 				Handler:           router,
 				ReadHeaderTimeout: defaultHeaderTimeout,
+				MaxHeaderBytes:    maxProbeHeaderBytes,
 			}
 			_ = server.Serve(listener) // returns when the listener is closed
 		}()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -75,9 +75,13 @@
 		Addr:              address,
 		Handler:           mux,
 		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return server.ListenAndServe()
 }
 
-// readHeaderTimeout bounds the time to read the headers of a request for metrics.
-const readHeaderTimeout = 3 * time.Second
+const (
+	// readHeaderTimeout bounds the time to read the headers of a request for metrics, and maxHeaderBytes their size.
+	readHeaderTimeout = 3 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
