caller: a message of a peer is bounded

Cause: net/rpc reads messages with gob, which allows a gigabyte each.

Change: a codec of the same format reads at most 16 MiB for a message.

--- a/caller/client.go
+++ b/caller/client.go
@@ -103,11 +103,11 @@
 		_ = connection.Close()
 		return other, nil
 	}
-	peer = rpc.NewClient(&countingConn{
+	peer = rpc.NewClientWithCodec(newCodec(&countingConn{
 		Conn:     connection,
 		received: &client.received,
 		sent:     &client.sent,
-	})
+	}))
 	client.connections[address] = peer
 	return peer, nil
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -70,11 +70,11 @@
 	if serverHandshake(connection, server.key) != nil {
 		return
 	}
-	server.rpc.ServeConn(&countingConn{
+	server.rpc.ServeCodec(newCodec(&countingConn{
 		Conn:     connection,
 		received: &server.received,
 		sent:     &server.sent,
-	})
+	}))
 }
 
 func (server *Server) track(connection net.Conn) bool {
