Another backend server is tried when a connection does not come about

Cause: a connection to a backend server beyond a cut was awaited for 1.2 s, longer than a call's deadline, and the retry took from the budget although nothing had arrived; a retry that reached no backend server was counted as a second crash of its request.

Change: with another usable backend server a connection may take 0.15 s; only sends that may have arrived count for the budget and as crashes.

Result: TestOtherServerIsTriedWhenNoConnectionComesAbout (503 before) and TestUnsentRetryIsNoCrash (2 crashes before).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -33,16 +33,19 @@
 // LimitBuffers bounds the memory, in bytes, of all bodies that are being read at once; zero sets no limit.
 func (connector *Connector) LimitBuffers(bytes int64) { connector.buffers.limit = bytes }
 
-// acquire returns an idle connection to the address, or a new one if there is none or one is asked for.
-func (connector *Connector) acquire(ctx context.Context, address string, forceNew bool) (*connection, error) {
+// acquire returns an idle connection to the address, or a new one, made within the time-out, if there is none or one is asked for.
+func (connector *Connector) acquire(ctx context.Context, address string, forceNew bool, timeout time.Duration) (*connection, error) {
 	if !forceNew {
 		if idle := connector.takeIdle(address); idle != nil {
 			return idle, nil
 		}
 	}
 	connector.reserve(address)
+	if timeout <= 0 {
+		timeout = dialTimeout
+	}
 	dialer := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: timeout,
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -34,7 +34,7 @@
 // Send sends a request and returns its response once the status and headers are read, or a failure whose verdict says whether the request may
 // have run.
 func (connector *Connector) Send(ctx context.Context, request Request) (*Response, error) {
-	connection, err := connector.acquire(ctx, request.Address, request.NewConnection)
+	connection, err := connector.acquire(ctx, request.Address, request.NewConnection, request.DialTimeout)
 	if err != nil {
 		return nil, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable, "no connection to "+request.Address).WithCause(err)
 	}
--- a/connector/message_request.go
+++ b/connector/message_request.go
@@ -1,15 +1,20 @@
 package connector
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Request is one send of a request to one backend server.
 type Request struct {
 	Address string
 	// NewConnection asks for a new connection, which the backend server does not close as idle while the request is sent.
 	NewConnection bool
-	Method        string
-	Head          []byte
-	Body          []byte
+	// DialTimeout bounds the time to connect; zero stands for the longest time that a connection may take.
+	DialTimeout time.Duration
+	Method      string
+	Head        []byte
+	Body        []byte
 	// Matches returns whether a response is to this request rather than to an earlier one.
 	Matches func(response *http.Response) bool
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -24,6 +24,10 @@
 	ctx      context.Context
 	tried    map[string]bool
 	sends    int
+	// arrivals counts the sends that may have reached a backend server; each further one takes from the budget of retries.
+	arrivals int
+	// alternatives is whether the backend server of the current send was not the only usable one.
+	alternatives bool
 	// mayHaveRun is set once a backend server may have run the request, which must then not be refused as not run.
 	mayHaveRun bool
 	// mayHaveRunAt holds the ids of the backend servers that may have run the request; the route limits their number.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -27,13 +27,13 @@
 			reason = "group_broken"
 			break
 		}
-		if exchange.sends > 0 {
+		if exchange.arrivals > 0 {
 			if denied := forwarder.denyRetry(exchange); denied != "" {
 				reason = denied
 				break
 			}
 		}
-		state := forwarder.servers.pick(exchange.service, exchange.tried, forwarder.groups.openOnly(exchange.service))
+		state, alternatives := forwarder.servers.pick(exchange.service, exchange.tried, forwarder.groups.openOnly(exchange.service))
 		if state == nil || exchange.tried[state.server.ID] && exchange.mayHaveRun {
 			if state != nil {
 				forwarder.servers.done(state, outcomeAbandoned)
@@ -46,7 +46,7 @@
 			reason = "attempt_limit"
 			break
 		}
-		exchange.tried[state.server.ID] = true
+		exchange.tried[state.server.ID], exchange.alternatives = true, alternatives
 		delivered, buffered, why := forwarder.attempt(writer, exchange, state, permit)
 		if delivered {
 			return
@@ -72,11 +72,10 @@
 func (forwarder *Forwarder) attempt(writer http.ResponseWriter, exchange *exchange, state *serverState, permit *permit) (delivered bool, buffered *bufferedResponse, reason string) {
 	response, err := forwarder.send(exchange, state, exchange.usePermit(permit), exchange.metadata.LastEventID)
 	if err != nil {
-		exchange.recordVerdict(state.server.ID, cranberryward.FailureOf(err).Verdict())
-		forwarder.recordCrash(exchange)
-		forwarder.servers.done(state, forwarder.failureOutcome(exchange))
+		forwarder.recordFailedSend(exchange, state, err)
 		return false, nil, "unreachable"
 	}
+	exchange.arrivals++
 	metadata := platform.ReadResponse(response.HTTP())
 	forwarder.servers.recordLoad(state, metadata.Load)
 	if metadata.NotRun {
@@ -113,6 +112,17 @@
 	return true, nil, ""
 }
 
+// recordFailedSend records a send that got no response; one that certainly did not reach the backend server is no arrival there, and no crash.
+func (forwarder *Forwarder) recordFailedSend(exchange *exchange, state *serverState, err error) {
+	verdict := cranberryward.FailureOf(err).Verdict()
+	exchange.recordVerdict(state.server.ID, verdict)
+	if verdict != cranberryward.NotRun {
+		exchange.arrivals++
+		forwarder.recordCrash(exchange)
+	}
+	forwarder.servers.done(state, forwarder.failureOutcome(exchange))
+}
+
 // failureOutcome returns the outcome of a send that broke off: abandoned if the caller left, and unreachable otherwise.
 func (forwarder *Forwarder) failureOutcome(exchange *exchange) outcome {
 	if exchange.request.Context().Err() != nil {
@@ -142,11 +152,16 @@
 	if exchange.workspace != nil {
 		backendRequest.Workspace = exchange.workspace.Name
 	}
+	dialTimeout := time.Duration(0) // the connector's own
+	if exchange.alternatives {
+		dialTimeout = alternativeDialTimeout
+	}
 	var head bytes.Buffer
 	platform.WriteRequestHead(&head, exchange.request, backendRequest)
 	return forwarder.connector.Send(exchange.ctx, connector.Request{
 		Address:       state.server.Address,
 		NewConnection: newConnection,
+		DialTimeout:   dialTimeout,
 		Method:        exchange.request.Method,
 		Head:          head.Bytes(),
 		Body:          exchange.body,
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -16,6 +16,9 @@
 	// doubles it, up to maxFailureBackoff.
 	failureBackoff    = 200 * time.Millisecond
 	maxFailureBackoff = 2 * time.Second
+	// alternativeDialTimeout is the time after which another backend server is tried if a connection has not come about; links within a region have a
+	// delay of a few milliseconds.
+	alternativeDialTimeout = 150 * time.Millisecond
 	// outcomeWeight is the weight of a new outcome in the moving average of a backend server's failure rate.
 	outcomeWeight = 0.15
 	// failurePenalty is the cost of a failure rate of one, in requests in flight.
@@ -144,8 +147,8 @@
 }
 
 // pick chooses a backend server of a service and counts a request at it, or returns nil if there is none; a nil function allows all, and a
-// backend server that was tried already is a last resort.
-func (servers *servers) pick(service string, tried map[string]bool, allowed func(server cranberryward.BackendServer) bool) *serverState {
+// backend server that was tried already is a last resort. It also returns whether there were other usable ones.
+func (servers *servers) pick(service string, tried map[string]bool, allowed func(server cranberryward.BackendServer) bool) (state *serverState, alternatives bool) {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
 	now := time.Now()
@@ -172,11 +175,11 @@
 		})
 	}
 	if len(candidates) == 0 {
-		return nil
+		return nil, false
 	}
 	chosen := servers.choose(candidates, service)
 	chosen.inFlight++
-	return chosen
+	return chosen, len(candidates) > 1 && best == 0
 }
 
 // unreported returns whether the controller of its group still reports loads but no longer that of this backend server, which may have stalled.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -150,18 +150,16 @@
 			return nil, nil
 		}
 		open := forwarder.groups.openOnly(exchange.service)
-		state := forwarder.servers.pick(exchange.service, exchange.tried, func(server cranberryward.BackendServer) bool {
+		state, alternatives := forwarder.servers.pick(exchange.service, exchange.tried, func(server cranberryward.BackendServer) bool {
 			return exchange.mayRunAt(server.ID) && open(server)
 		})
 		if state == nil {
 			return nil, nil
 		}
-		exchange.tried[state.server.ID] = true
+		exchange.tried[state.server.ID], exchange.alternatives = true, alternatives
 		response, err := forwarder.send(exchange, state, exchange.usePermit(permit), relay.lastID)
 		if err != nil {
-			exchange.recordVerdict(state.server.ID, cranberryward.FailureOf(err).Verdict())
-			forwarder.recordCrash(exchange)
-			forwarder.servers.done(state, forwarder.failureOutcome(exchange))
+			forwarder.recordFailedSend(exchange, state, err)
 			continue
 		}
 		metadata := platform.ReadResponse(response.HTTP())
--- a/gateway/entry/retry_test.go
+++ b/gateway/entry/retry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,3 +98,70 @@
 		})
 	}
 }
+
+// silentAddress returns an address at which connections never come about, as behind a partition: the queue of its socket is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(socket, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for {
+		connection, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+	}
+}
+
+// TestOtherServerIsTriedWhenNoConnectionComesAbout answers the pattern "a zone is cut off while calls have a second": the backend servers beyond the cut
+// answer no connection. The call must reach another one in time, and takes nothing from the budget of retries, as nothing arrived at the first.
+func TestOtherServerIsTriedWhenNoConnectionComesAbout(t *testing.T) {
+	for _, path := range []string{"/book/", "/look/"} {
+		fixture := newFixture(t, responds(200, "first"), responds(200, "second"))
+		server := fixture.view.Servers["i-0"]
+		server.Address = silentAddress(t)
+		fixture.view.Servers["i-0"] = server
+		fixture.forwarder.Configure(fixture.view)
+		fixture.forwarder.SetRetryBudget(0, 0, 10*time.Second)
+		request := fixture.request(http.MethodPost, path, "question", "X-Deadline-Remaining-Ms: 1000")
+		if status, body := fixture.send(request); status != 200 || body != "second" {
+			t.Errorf("%s: status %d, body %q", path, status, body)
+		}
+	}
+}
+
+// TestUnsentRetryIsNoCrash guards against counting a retry that reached no backend server as a second crash of the request.
+func TestUnsentRetryIsNoCrash(t *testing.T) {
+	fixture := newFixture(t, crash, responds(200, "never reached"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := fixture.view.Servers["i-1"]
+	server.Address = listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	fixture.view.Servers["i-1"] = server
+	fixture.forwarder.Configure(fixture.view)
+	fixture.send(fixture.request(http.MethodGet, "/look/", ""))
+	for _, count := range fixture.forwarder.RecentCrashes() {
+		if count != 1 {
+			t.Errorf("%d crashes are counted, expected 1", count)
+		}
+	}
+}
