rebalancer: one slow arming no longer moves all changes twelve passes ahead

Cause: arming that waited 4 s for a frozen rank set the lead to its maximum, from which it fell by one pass in twelve changes on average.

Change: the lead grows by two passes a change at most.

--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -17,6 +17,8 @@
 	// initialLead is how many passes ahead the first change is armed; the lead grows when arming takes longer.
 	initialLead = 3
 	maxLead     = 12
+	// maxLeadStep bounds the growth of the lead after one change: arming that waited seconds for a frozen rank says little about the next one.
+	maxLeadStep = 2
 	// armTimeFactor is the safety factor on the last measured arming time: arming that takes longer delays the group's next pass.
 	armTimeFactor = 1.5
 	// lostOrderTime is the minimum lead time; within it one lost order can be detected and sent again without delaying the group.
@@ -86,7 +88,7 @@
 	leadTime := max(armTimeFactor*float64(took), float64(lostOrderTime))
 	needed := min(uint64(leadTime/float64(rebalancer.passTime))+1, maxLead)
 	if needed > rebalancer.leadPasses {
-		rebalancer.leadPasses = needed
+		rebalancer.leadPasses = min(needed, rebalancer.leadPasses+maxLeadStep)
 	} else if rebalancer.leadPasses > needed && rand.IntN(leadDecayChanges) == 0 {
 		rebalancer.leadPasses--
 	}
