rebalancer: a calm group copies little

Change: at up to four tenths of the pause objective a change must save 20 in 100 of the expert time and a copy 85 in 100 of the busiest rank's penalty; both fall to the former values as passes approach the objective.

--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -27,15 +27,16 @@
 	// lowPressureGain and highPressureGain are the shares of the most loaded rank's penalty (planner.LocalSearch.MinimumGain) that a copy must
 	// remove at lowPressure and at highPressure. Copies cost bandwidth and slow passes down, so they are worth more the closer the pauses
 	// come to the objective. The penalty is the eighth power of the load, so half of it is a twelfth of the rank's load.
-	lowPressureGain  = 0.5
+	lowPressureGain  = 0.85
 	highPressureGain = 0.15
 	// lowPressure and highPressure are pass times as shares of the pause objective; at highPressure passes take about as long as callers accept.
-	lowPressure  = 0.5
+	lowPressure  = 0.4
 	highPressure = 0.9
 	// defaultCopyBudget is how long a rank may copy for one change if no pause objective is configured: about one pass.
 	defaultCopyBudget = 120 * time.Millisecond
-	// minSavedShare is the share of the expert time of a pass that a change must save.
-	minSavedShare = 0.02
+	// lowPressureSaved and highPressureSaved are the shares of the expert time of a pass that a change must save at lowPressure and at highPressure.
+	lowPressureSaved  = 0.2
+	highPressureSaved = 0.02
 )
 
 // Group provides the group's members and settings to the rebalancer and receives its observations.
@@ -145,7 +146,7 @@
 		return nil
 	}
 	next, copies, saved := rebalancer.plan(engine)
-	if saved < minSavedShare {
+	if saved < rebalancer.minimumSaved() {
 		return nil
 	}
 	_ = level.Info(rebalancer.logger).Log("event", "map_planned", "copies", copies, "skew", rebalancer.meanSkew(rebalancer.placement, engine), "planned_skew", rebalancer.meanSkew(next, engine))
@@ -224,13 +225,23 @@
 
 // minimumGain returns the share of the most loaded rank's penalty that a copy must remove at the current pass time.
 func (rebalancer *Rebalancer) minimumGain() float64 {
+	return rebalancer.atPressure(lowPressureGain, highPressureGain)
+}
+
+// minimumSaved returns the share of the expert time that a change must save at the current pass time.
+func (rebalancer *Rebalancer) minimumSaved() float64 {
+	return rebalancer.atPressure(lowPressureSaved, highPressureSaved)
+}
+
+// atPressure returns a value between those for lowPressure and highPressure, by the current pass time as a share of the pause objective.
+func (rebalancer *Rebalancer) atPressure(low, high float64) float64 {
 	objective := rebalancer.group.PauseObjective()
 	if objective <= 0 {
-		return lowPressureGain
+		return low
 	}
 	pressure := float64(rebalancer.passTime) / float64(objective)
 	position := (pressure - lowPressure) / (highPressure - lowPressure)
-	return lowPressureGain + (highPressureGain-lowPressureGain)*min(max(position, 0), 1)
+	return low + (high-low)*min(max(position, 0), 1)
 }
 
 // slowdowns returns the factor by which each rank is slower than usual, at least 1.
