--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 SEED ?= 1
 ROUNDS ?= 1
 SECONDS ?= 20
+FUZZ_TIME ?= 2s
 DEPLOYMENT ?= parlamigo
 
-.PHONY: build format vet lint test check bench measure slopes soak
+.PHONY: build format vet lint test fuzz check bench measure slopes soak
 
 build:
 	go build -ldflags "-X github.com/cranberryward/cranberryward.Version=$(VERSION)" -o bin/ ./agent ./cranberryward ./entry ./gateway ./standin
@@ -28,7 +29,16 @@
 test:
 	go test -race -count=1 -timeout 40m $(MODULES)
 
-check: format vet lint test
+# Each fuzz target for a moment, from its corpus on.
+fuzz:
+	@for file in $$(git grep -lE '^func Fuzz' -- '*_test.go'); do \
+		directory=$$(dirname $$file); \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$file); do \
+			(cd $$directory && go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) .) || exit 1; \
+		done; \
+	done
+
+check: format vet lint test fuzz
 
 measure:
 	go run ./measure --seed $(SEED) --deployment $(DEPLOYMENT)
