A silent agent's rank is reached directly, and a handshake ends with its context

Cause: a call to an agent that accepts connections and answers nothing waited two seconds for the handshake, whatever time the caller had, and a single observation during a change had no bound at all; the controller stood still with the group held, and fifteen agents that heard nothing requested its key.

Ruled out: that the group passes on while an instance is frozen and only the hold stops it.

Change: the handshake ends with the context's deadline; an observation through an agent is bounded by 0.25 s; an agent that did not answer is left out of the tree for a second, its rank observed and ordered directly, with the rank's number of orders as the condition, so that what the agent may still pass on has no effect. Orders without a map have 0.25 s in the tree, not 0.7 s.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -81,3 +84,21 @@
 		t.Errorf("the other call failed: %v", err)
 	}
 }
+
+// TestHandshakeEndsWithTheContext guards against waiting for a peer that accepts a connection and is frozen for longer than the caller allows.
+func TestHandshakeEndsWithTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		connection, peer := net.Pipe()
+		defer func() { _ = errors.Join(connection.Close(), peer.Close()) }()
+		const allowed = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), allowed)
+		defer cancel()
+		begun := time.Now()
+		if err := clientHandshake(ctx, connection, "key"); err == nil {
+			t.Error("a handshake with a silent peer succeeded")
+		}
+		if took := time.Since(begun); took != allowed {
+			t.Errorf("the handshake ended after %s, expected %s", took, allowed)
+		}
+	})
+}
--- a/caller/client.go
+++ b/caller/client.go
@@ -89,7 +89,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err == nil {
-		err = clientHandshake(connection, client.key)
+		err = clientHandshake(ctx, connection, client.key)
 	}
 	if err != nil {
 		if connection != nil {
--- a/caller/handshake.go
+++ b/caller/handshake.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -46,9 +47,13 @@
 	return eris.Wrap(connection.SetDeadline(time.Time{}), "clear the handshake deadline")
 }
 
-// clientHandshake is the client's side of serverHandshake.
-func clientHandshake(connection net.Conn, key string) error {
-	if err := connection.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+// clientHandshake is the client's side of serverHandshake; it ends with the context's deadline at the latest.
+func clientHandshake(ctx context.Context, connection net.Conn, key string) error {
+	limit := time.Now().Add(handshakeTimeout)
+	if deadline, bounded := ctx.Deadline(); bounded && deadline.Before(limit) {
+		limit = deadline
+	}
+	if err := connection.SetDeadline(limit); err != nil {
 		return eris.Wrap(err, "set the handshake deadline")
 	}
 	nonce := make([]byte, nonceBytes)
--- a/gateway/agent/rank_client.go
+++ b/gateway/agent/rank_client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/caller"
@@ -10,6 +11,9 @@
 	"github.com/cranberryward/cranberryward/rebalancer"
 )
 
+// silentTime is how long an agent that did not answer in time is not asked for its rank.
+const silentTime = time.Second
+
 // rankClient reaches a rank through the agent on its instance, and directly if that agent cannot be reached.
 type rankClient struct {
 	client       *caller.Client
@@ -19,6 +23,8 @@
 
 	mutex       sync.Mutex
 	incarnation uint64
+	// silentUntil is until when the agent is not asked, because it did not answer in time; its rank may work nevertheless.
+	silentUntil time.Time
 	// lastMap is the last map that the agent is known to have, and lastMapVersion is its version.
 	lastMap        [][][]int
 	lastMapVersion uint64
@@ -26,20 +32,51 @@
 
 // Observe returns the state of the rank.
 func (rankClient *rankClient) Observe(ctx context.Context, query rebalancer.Query) (rebalancer.Observation, error) {
+	if !rankClient.silent() {
+		observation, err := rankClient.observeThroughAgent(ctx, query)
+		if err == nil || !rankClient.mayAskDirectly(err) {
+			return observation, err
+		}
+	}
+	// Reading counts from another instance costs the whole group a pause, so only the state is requested.
+	observation, _, err := observe(rankClient.direct, rebalancer.Query{Placement: query.Placement})
+	return observation, err
+}
+
+// observeThroughAgent returns the state of the rank as its agent sees it.
+func (rankClient *rankClient) observeThroughAgent(ctx context.Context, query rebalancer.Query) (rebalancer.Observation, error) {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
 	var reply ObserveReply
 	err := rankClient.client.Call(ctx, rankClient.agentAddress, "Rank.Observe", ObserveRequest{Question: query}, &reply)
+	if err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonFenced {
+		return rebalancer.Observation{}, rebalancer.ErrTermEnded
+	}
 	if err == nil {
 		rankClient.setIncarnation(reply.Life)
-		return reply.Observation, nil
 	}
-	if failure := cranberryward.FailureOf(err); failure.Reason() == cranberryward.ReasonFenced {
-		return rebalancer.Observation{}, rebalancer.ErrTermEnded
-	} else if failure.Reason() != cranberryward.ReasonUnreachable {
-		return rebalancer.Observation{}, err
+	return reply.Observation, err
+}
+
+// mayAskDirectly returns whether an agent failed in a way that says nothing about its rank: it cannot be reached or did not answer in time, after which it
+// counts as silent for a while.
+func (rankClient *rankClient) mayAskDirectly(err error) bool {
+	switch cranberryward.FailureOf(err).Reason() {
+	case cranberryward.ReasonUnreachable, cranberryward.ReasonDeadline:
+		rankClient.mutex.Lock()
+		defer rankClient.mutex.Unlock()
+		rankClient.silentUntil = time.Now().Add(silentTime)
+		return true
+	default:
+		return false
 	}
-	// Reading counts from another instance costs the whole group a pause, so only the state is requested.
-	observation, _, err := observe(rankClient.direct, rebalancer.Query{Placement: query.Placement})
-	return observation, err
+}
+
+// silent returns whether the agent did not answer in time a short while ago.
+func (rankClient *rankClient) silent() bool {
+	rankClient.mutex.Lock()
+	defer rankClient.mutex.Unlock()
+	return time.Now().Before(rankClient.silentUntil)
 }
 
 // setIncarnation records the incarnation in which the agent learned the term.
@@ -71,6 +108,10 @@
 func (rankClient *rankClient) Order(ctx context.Context, group string, term uint64, order cranberryward.RankOrder) (cranberryward.OrderOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*localTimeout)
 	defer cancel()
+	if rankClient.silent() {
+		// What the agent may still do with an earlier order depends on the rank's number of orders, which this one changes.
+		return rankClient.direct.Order(ctx, order)
+	}
 	request := rankClient.request(group, term, order)
 	outcome, err := rankClient.call(ctx, request)
 	if request.Base != 0 && err != nil && cranberryward.FailureOf(err).Reason() == cranberryward.ReasonConflict {
--- a/gateway/agent/rank_tree.go
+++ b/gateway/agent/rank_tree.go
@@ -8,6 +8,7 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/caller"
 	"github.com/cranberryward/cranberryward/rebalancer"
+	"github.com/rotisserie/eris"
 )
 
 // Survey answers for the rank of this agent, which is the first target, and for the others, whose agents it asks.
@@ -94,8 +95,15 @@
 	counts countsForwarder
 }
 
-// commandTimeout bounds an order to all ranks: the differences of a map pass a few slow links one after the other.
-const commandTimeout = 700 * time.Millisecond
+const (
+	// mapTimeout bounds an order with a map to all ranks, whose differences pass a few slow links one after the other.
+	mapTimeout = 700 * time.Millisecond
+	// commandTimeout bounds any other order to all ranks, during which the group may be held.
+	commandTimeout = 250 * time.Millisecond
+)
+
+// errAgentSilent means that an order was not sent because the agent has not answered; it is then sent to the rank by itself.
+var errAgentSilent = eris.New("the rank's agent does not answer")
 
 // Survey queries the members through the tree, and those that it did not reach one by one.
 func (surveyor *surveyor) Survey(ctx context.Context, members []rebalancer.Member, query rebalancer.Query) rebalancer.Survey {
@@ -103,11 +111,18 @@
 		Observations: make([]rebalancer.Observation, len(members)),
 		Failures:     make([]error, len(members)),
 	}
-	targets, indexes := surveyor.arrange(members, nil)
+	targets, indexes, silent := surveyor.arrange(members, nil)
 	treeCtx, cancel := context.WithTimeout(ctx, timeLeft(ctx))
 	defer cancel()
-	results := surveyor.survey(treeCtx, query, targets)
+	single := query
+	single.Counts = false
 	var wait sync.WaitGroup
+	for _, index := range silent {
+		wait.Go(func() {
+			survey.Observations[index], survey.Failures[index] = members[index].Client.Observe(ctx, single)
+		})
+	}
+	results := surveyor.survey(treeCtx, query, targets)
 	for i, result := range results {
 		index := indexes[i]
 		client := members[index].Client.(*rankClient)
@@ -117,11 +132,9 @@
 			continue
 		}
 		survey.Failures[index] = result.Failure.err()
-		if !result.Failure.NotRun || result.Failure.TermEnded {
+		if result.Failure.TermEnded {
 			continue
 		}
-		single := query
-		single.Counts = false
 		wait.Go(func() { survey.Observations[index], survey.Failures[index] = client.Observe(ctx, single) })
 	}
 	wait.Wait()
@@ -131,9 +144,14 @@
 	return survey
 }
 
-// arrange returns the targets with that on the controller's own instance first, and the index of the member of each.
-func (surveyor *surveyor) arrange(members []rebalancer.Member, orders []uint64) (targets []Target, indexes []int) {
+// arrange returns the targets with that on the controller's own instance first, the index of the member of each, and the indexes of the members whose
+// agents are silent, which the tree leaves out.
+func (surveyor *surveyor) arrange(members []rebalancer.Member, orders []uint64) (targets []Target, indexes, silent []int) {
 	for index, member := range members {
+		if member.Client.(*rankClient).silent() {
+			silent = append(silent, index)
+			continue
+		}
 		count := uint64(0)
 		if orders != nil {
 			count = orders[index]
@@ -146,7 +164,7 @@
 			targets[0], indexes[0] = own, index
 		}
 	}
-	return targets, indexes
+	return targets, indexes, silent
 }
 
 // isLocal returns whether the first target is the rank on the controller's own instance.
@@ -174,15 +192,19 @@
 
 // OrderAll sends the members an order through the tree; of a map, only the differences to the last one are sent if all of them have that.
 func (surveyor *surveyor) OrderAll(ctx context.Context, members []rebalancer.Member, orders []uint64, group string, term uint64, order cranberryward.RankOrder) []rebalancer.OrderResult {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	timeout := commandTimeout
+	if order.Kind == cranberryward.RankPrepare {
+		timeout = mapTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	targets, indexes := surveyor.arrange(members, orders)
+	targets, indexes, silent := surveyor.arrange(members, orders)
 	request := CommandRequest{
 		Group:   group,
 		Term:    term,
 		Order:   order,
 		Targets: targets,
-		Timeout: commandTimeout,
+		Timeout: timeout,
 	}
 	if order.Kind == cranberryward.RankPrepare {
 		surveyor.packMap(&request, members)
@@ -194,6 +216,9 @@
 		results = surveyor.tree.command(ctx, request)
 	}
 	outcomes := make([]rebalancer.OrderResult, len(members))
+	for _, index := range silent {
+		outcomes[index].Err = errAgentSilent
+	}
 	for i, result := range results {
 		outcomes[indexes[i]] = rebalancer.OrderResult{
 			Outcome: result.Outcome,
--- a/gateway/agent/tree_test.go
+++ b/gateway/agent/tree_test.go
@@ -309,3 +309,20 @@
 func hasLargeNumbers(results []SurveyResult) bool {
 	return slices.ContainsFunc(results, func(result SurveyResult) bool { return math.Abs(result.Observation.Report.Pace) > 1e9 })
 }
+
+// TestSilentAgentDoesNotStopChanges lets one agent accept connections and answer nothing, as a frozen process does, and checks that the controller reaches
+// its rank directly: a call without a bound would hold the group for as long as the agent is silent.
+func TestSilentAgentDoesNotStopChanges(t *testing.T) {
+	testGroup := newTestGroup(t)
+	testGroup.drift.Store(driftPasses)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	testGroup.members[3].Client.(*rankClient).agentAddress = listener.Addr().String()
+	end := testGroup.runController(1)
+	defer end()
+	testGroup.awaitSwitches(2)
+	testGroup.requireOneMap()
+}
--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -34,6 +34,8 @@
 	copyTimeoutMargin = 1500 * time.Millisecond
 	// staleReportDelay is how long to wait until reports, which may be several hundred milliseconds old, include the last order.
 	staleReportDelay = 400 * time.Millisecond
+	// staleReportSteps is the number of attempts in that time.
+	staleReportSteps = 4
 	// switchTimeout bounds the wait for the pass of the switch, which a group under load begins within a fraction of a second.
 	switchTimeout = time.Second
 )
@@ -287,9 +289,15 @@
 		if done(observation.Report) {
 			return true, nil
 		}
-		if outcome == cranberryward.OrderRefused && before == observation.Report.Orders {
+		if outcome == cranberryward.OrderRefused && before == observation.Report.Orders && observation.Fresh {
 			return false, nil
 		}
+		if !observation.Fresh {
+			// The report may be older than the order.
+			if err := sleep(ctx, staleReportDelay/staleReportSteps); err != nil {
+				return false, err
+			}
+		}
 	}
 	return false, eris.Wrapf(failure, "outcome of the order still unknown after %d attempts", maxOrderAttempts)
 }
