--- a/gateway/agent/rank_test.go
+++ b/gateway/agent/rank_test.go
@@ -16,8 +16,12 @@
 	server := httptest.NewServer(group.Rank(0))
 	t.Cleanup(server.Close)
 	service := newRankService(strings.TrimPrefix(server.URL, "http://"), newTree(caller.NewClient("")), func(cranberryward.RankReport) {})
+	query := rebalancer.Query{
+		Group: rankSettings.Name,
+		Term:  7,
+	}
 	var observed ObserveReply
-	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Group: rankSettings.Name, Term: 7}}, &observed); err != nil {
+	if err := service.Observe(ObserveRequest{Question: query}, &observed); err != nil {
 		t.Fatal(err)
 	}
 	hold := OrderRequest{
@@ -34,7 +38,7 @@
 	if err := service.Order(hold, &reply); err == nil {
 		t.Error("an order of an earlier term was accepted")
 	}
-	if err := service.Observe(ObserveRequest{Question: rebalancer.Query{Group: rankSettings.Name, Term: 7}}, &observed); err != nil || observed.Observation.Report.Held != 0 {
+	if err := service.Observe(ObserveRequest{Question: query}, &observed); err != nil || observed.Observation.Report.Held != 0 {
 		t.Errorf("the rank is held at step %d by an earlier term, error %v", observed.Observation.Report.Held, err)
 	}
 	hold.Term = 7
--- a/relayer/spread_test.go
+++ b/relayer/spread_test.go
@@ -45,17 +45,24 @@
 // TestSequences checks that a notice is handled once and that an older one is ignored, also after a restart of its sender.
 func TestSequences(t *testing.T) {
 	var sequences sequences
+	spread := func(sender string, life, sequence uint64) Spread {
+		return Spread{
+			Sender:   sender,
+			Life:     life,
+			Sequence: sequence,
+		}
+	}
 	for _, test := range []struct {
 		name   string
 		spread Spread
 		isNew  bool
 	}{
-		{"the first", Spread{Sender: "a", Life: 1, Sequence: 5}, true},
-		{"the same again", Spread{Sender: "a", Life: 1, Sequence: 5}, false},
-		{"an older one", Spread{Sender: "a", Life: 1, Sequence: 4}, false},
-		{"a newer one", Spread{Sender: "a", Life: 1, Sequence: 6}, true},
-		{"another sender", Spread{Sender: "b", Life: 1, Sequence: 1}, true},
-		{"the sender restarted", Spread{Sender: "a", Life: 2, Sequence: 1}, true},
+		{"the first", spread("a", 1, 5), true},
+		{"the same again", spread("a", 1, 5), false},
+		{"an older one", spread("a", 1, 4), false},
+		{"a newer one", spread("a", 1, 6), true},
+		{"another sender", spread("b", 1, 1), true},
+		{"the sender restarted", spread("a", 2, 1), true},
 	} {
 		if isNew := sequences.isNew(test.spread); isNew != test.isNew {
 			t.Errorf("%s: new is %v, expected %v", test.name, isNew, test.isNew)
