controller: a version that does not come into force is discarded

Cause: a prepared version stayed in the ranks' memory if the commit was refused, if a quiet window opened before the change, or if its controller had lost the lease.

Change: the first two discard it at once; the third cannot order any more, so the next controller discards the recorded version that is not in force when it reserves its own.

--- a/controller/change.go
+++ b/controller/change.go
@@ -7,7 +7,6 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/charter"
 	"github.com/cranberryward/cranberryward/messenger"
-	"github.com/cranberryward/cranberryward/planner"
 	"github.com/cranberryward/cranberryward/switcher"
 	"golang.org/x/sync/errgroup"
 )
@@ -21,14 +20,17 @@
 
 var chart = charter.MustLoad("change", eventPrepare, eventPrepared, eventCommit, eventAbandon)
 
-// applyDecision reserves a version for the new map, loads its weights on every rank, commits it to the key-value service, and asks the agent of the first
-// rank to switch the group.
-func (controller *Controller) applyDecision(ctx context.Context, ranks []cranberryward.Instance, current cranberryward.ExpertMap, decision planner.Decision) (bool, error) {
+// applyMap reserves a version for the new map, loads its weights on every rank, commits it to the key-value service, and asks the agent of the first rank to
+// switch the group. A version that does not come into force is discarded, also one that an earlier controller left behind.
+func (controller *Controller) applyMap(ctx context.Context, ranks []cranberryward.Instance, current, next cranberryward.ExpertMap) (bool, error) {
 	machine := chart.Start()
-	record, revision, err := controller.reserveVersion(ctx, current, decision.Map())
+	record, left, revision, err := controller.reserveVersion(ctx, current, next)
 	if err != nil {
 		return false, err
 	}
+	if left != 0 {
+		controller.discardVersion(ctx, ranks, left)
+	}
 	_ = machine.Fire(eventPrepare)
 	if err := controller.prepareRanks(ctx, ranks, record.Map); err != nil {
 		_ = machine.Fire(eventAbandon)
@@ -44,23 +46,30 @@
 	record.Fencing = fencing
 	if err := controller.commit(ctx, record, revision); err != nil {
 		_ = machine.Fire(eventAbandon)
+		if cranberryward.VerdictOf(err) == cranberryward.NotRun {
+			controller.discardVersion(ctx, ranks, record.Version)
+		}
 		return false, err
 	}
 	_ = machine.Fire(eventCommit)
 	return controller.executeChange(ctx, ranks, current.Version, record, fencing)
 }
 
-// reserveVersion records a version that no other controller can use for another map.
-func (controller *Controller) reserveVersion(ctx context.Context, current, next cranberryward.ExpertMap) (Record, uint64, error) {
+// reserveVersion records a version that no other controller can use for another map, and returns the recorded version that it replaces if that is not in
+// force, or zero.
+func (controller *Controller) reserveVersion(ctx context.Context, current, next cranberryward.ExpertMap) (record Record, left, revision uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	fencing, held := controller.lease.Held()
 	if !held {
-		return Record{}, 0, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonFenced, "the group's lease is not held")
+		return Record{}, 0, 0, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonFenced, "the group's lease is not held")
 	}
-	record, revision, err := ReadRecord(ctx, controller.store, controller.group)
+	record, revision, err = ReadRecord(ctx, controller.store, controller.group)
 	if err != nil {
-		return Record{}, 0, err
+		return Record{}, 0, 0, err
+	}
+	if record.Version != current.Version {
+		left = record.Version
 	}
 	next.Version = max(record.Version, current.Version) + 1
 	record = Record{
@@ -70,7 +79,7 @@
 		Map:     next,
 	}
 	revision, err = writeRecord(ctx, controller.store, controller.group, record, revision)
-	return record, revision, err
+	return record, left, revision, err
 }
 
 // commit records the map as committed and, if the outcome of the write is unknown, reads the record back to find out.
@@ -189,6 +198,7 @@
 
 func (controller *Controller) executeChange(ctx context.Context, ranks []cranberryward.Instance, from uint64, record Record, fencing uint64) (bool, error) {
 	if err := controller.checkQuietWindow(); err != nil {
+		controller.discardVersion(ctx, ranks, record.Version)
 		return false, err
 	}
 	changeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
