A group whose highest rank is not listed is not changed

Cause: the instance list has no size of a group; ranks numbered from 0 without a gap looked complete although the highest was missing, and the others were planned and switched without it.

Change: the number of ranks in the map in force must be that of the listed ranks, for the plan and for the switch.

Result: TestMissingHighestRankStopsChange.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -143,6 +144,10 @@
 	if err != nil {
 		return false, err
 	}
+	if current.Ranks != len(ranks) {
+		return false, cranberryward.NewFailure(cranberryward.NotRun, cranberryward.ReasonUnreachable,
+			fmt.Sprintf("%d of the group's %d ranks are in the instance list", len(ranks), current.Ranks))
+	}
 	decision := controller.evaluatePolicy(current)
 	age, _ := controller.localState.Age()
 	controller.updateStatus(current.Version, decision)
@@ -153,7 +158,7 @@
 	if decision.Keep() {
 		return false, nil
 	}
-	return controller.applyDecision(ctx, ranks, current, decision)
+	return controller.applyMap(ctx, ranks, current, decision.Map())
 }
 
 func (controller *Controller) observe(ctx context.Context, ranks []cranberryward.Instance) (cranberryward.ExpertMap, error) {
--- a/cranberryward/prover/switch_test.go
+++ b/cranberryward/prover/switch_test.go
@@ -330,3 +330,27 @@
 		t.Errorf("the group runs version %d, expected 1", last)
 	}
 }
+
+// TestMissingHighestRankStopsChange guards against switching a group of which the instance list lacks the highest rank, which numbers without a gap do not
+// show: that rank would run the former map.
+func TestMissingHighestRankStopsChange(t *testing.T) {
+	group := newGroup(t, false)
+	prepareMap(t, group, 2)
+	var rankClients []switcher.RankClient
+	for number := range group.RankCount() - 1 {
+		rankClients = append(rankClients, &faultyRankClient{rank: group.Rank(number)})
+	}
+	groupSwitcher := switcher.New("calls", func() []switcher.RankClient { return rankClients }, log.NewNopLogger())
+	outcome, err := groupSwitcher.Execute(t.Context(), switcher.Change{
+		Group:       "calls",
+		Fencing:     7,
+		FromVersion: 1,
+		ToVersion:   2,
+		HoldMillis:  1000,
+	}, func() error { return nil })
+	if cranberryward.VerdictOf(err) != cranberryward.NotRun || outcome.Version != 1 {
+		t.Errorf("outcome %+v, error %v, expected a refusal", outcome, err)
+	}
+	awaitSteps(t, group)
+	checkStepVersions(t, group.StepLog())
+}
--- a/switcher/attempt.go
+++ b/switcher/attempt.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if err := attempt.checkComplete(ctx); err != nil {
+		return err
+	}
 	attempt.fencing = FirstOrderFencing(attempt.change.Fencing)
 	for rank, state := range states {
 		switch {
@@ -86,6 +89,18 @@
 	return nil
 }
 
+// checkComplete returns an error if ranks are missing in the instance list, which cannot tell how many there are; the map in force can.
+func (attempt *attempt) checkComplete(ctx context.Context) error {
+	expertMap, err := attempt.rankClients[0].Map(ctx, attempt.change.FromVersion)
+	if err != nil {
+		return err
+	}
+	if listed := len(attempt.rankClients); expertMap.Ranks != listed {
+		return newRefusal(cranberryward.ReasonUnreachable, fmt.Sprintf("%d of the group's %d ranks are in the instance list", listed, expertMap.Ranks))
+	}
+	return nil
+}
+
 func (attempt *attempt) nextFencing() uint64 {
 	attempt.fencing++
 	attempt.switcher.lastFencing = attempt.fencing
