--- a/forwarder/request_log.go
+++ b/forwarder/request_log.go
@@ -46,11 +46,11 @@
 		"sends", exchange.sends, "may_have_run", exchange.mayHaveRun, "ms", time.Since(exchange.arrived).Milliseconds()}, details...)...) // there is nowhere to report a log line that cannot be written
 }
 
-// recordBreak logs a send that broke off after it may have reached a backend server: the prompt parts and the events that had arrived tell what
-// requests that broke off at the same time have in common.
+// recordBreak logs a send that broke off after it may have reached a backend server: the fingerprint of the request, its prompt parts and the events that had
+// arrived tell what requests that broke off have in common.
 func (requestLog *requestLog) recordBreak(exchange *exchange, server cranberryward.BackendServer, events int, err error) {
 	_ = level.Info(requestLog.logger).Log("event", "send_broken", "request", exchange.metadata.ID, "backend_server", server.ID, "service", exchange.service,
-		"shared_parts", strings.Join(exchange.metadata.SharedParts(), ","), "events", events, "sends", exchange.sends, "ms", time.Since(exchange.sentAt).Milliseconds(),
+		"fingerprint", exchange.fingerprint(), "shared_parts", strings.Join(exchange.metadata.SharedParts(), ","), "events", events, "sends", exchange.sends, "ms", time.Since(exchange.sentAt).Milliseconds(),
 		"error", err) // there is nowhere to report a log line that cannot be written
 }
 
