--- a/gateway/soaker/backend_test.go
+++ b/gateway/soaker/backend_test.go
@@ -44,7 +44,11 @@
 	sign(writer, id)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher, _ := writer.(http.Flusher)
-	if deployment.crashes(request) {
+	repeated := strings.HasSuffix(request.URL.Path, crashingPath)
+	if repeated {
+		deployment.checker.recordRepeat()
+	}
+	if repeated || deployment.crashes(request) {
 		flusher.Flush()
 		deployment.crashRank(rank)
 		panic(http.ErrAbortHandler)
@@ -77,6 +81,9 @@
 type app struct {
 	deployment *deployment
 	id         string
+	host       *backendHost
+	// down is whether the backend server has crashed.
+	down atomic.Bool
 	// resets, refuses and fails are the percentages of requests that it resets after running them, refuses, and fails.
 	resets, refuses, fails atomic.Int64
 }
@@ -93,6 +100,9 @@
 		return
 	}
 	app.deployment.checker.recordRun(id)
+	if app.crashes(request) {
+		panic(http.ErrAbortHandler)
+	}
 	sign(writer, id)
 	drawn = rand.Int64N(100)
 	switch {
--- a/gateway/soaker/deployment_test.go
+++ b/gateway/soaker/deployment_test.go
@@ -100,7 +100,7 @@
 			id:         fmt.Sprint("app-", number),
 		}
 		deployment.apps = append(deployment.apps, app)
-		deployment.serve(deployment.ip("3", number), appPort, app)
+		app.host = deployment.serve(deployment.ip("3", number), appPort, app)
 		deployment.register(fmt.Sprintf("app-%d", number), "app", deployment.address("3", number, appPort), number, "ready")
 	}
 	deployment.configure()
