--- a/forwarder/crash_suspects.go
+++ b/forwarder/crash_suspects.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/meter"
+	"github.com/cranberryward/cranberryward/quarantiner"
 	"github.com/go-kit/log/level"
 )
 
@@ -22,23 +24,62 @@
 	probeTimeout = 500 * time.Millisecond
 )
 
-// checkParts returns whether a request may be sent in view of the shared parts of its prompt, and for how long not if it may not. If the quarantine of a part
-// has ended, one request in all entries may probe it.
-func (forwarder *Forwarder) checkParts(exchange *exchange) (retryAfter time.Duration, blocked bool) {
-	verdict := forwarder.parts.Check(exchange.service, exchange.metadata.SharedParts())
-	if !verdict.Blocked() || verdict.Part() == exchange.probing {
-		return 0, false
+// quarantines returns the verdicts on the shared parts of a request's prompt and on the request as a whole that do not allow to send it.
+func (forwarder *Forwarder) quarantines(exchange *exchange) (blocking []quarantiner.PartVerdict) {
+	if verdict := forwarder.parts.Check(exchange.service, exchange.metadata.SharedParts()); verdict.Blocked() {
+		blocking = append(blocking, verdict)
 	}
-	if verdict.ProbeDue() && forwarder.beginProbe(exchange, verdict.Part()) {
-		exchange.probing = verdict.Part()
-		return 0, false
+	if forwarder.requests.Empty() {
+		return blocking
 	}
-	return max(verdict.Remaining(), unavailableRetryAfter), true
+	if verdict := forwarder.requests.Check(exchange.service, []string{exchange.wholeRequest().ID}); verdict.Blocked() {
+		blocking = append(blocking, verdict)
+	}
+	return blocking
+}
+
+// quarantineReason returns the reason for which a request with such a verdict is refused.
+func quarantineReason(verdict quarantiner.PartVerdict) string {
+	if verdict.Part().IsWholeRequest() {
+		return "request_quarantined"
+	}
+	return "part_quarantined"
+}
+
+// checkQuarantines returns why a request may not be sent in view of what crashed backend servers, and an empty reason if it may. If a quarantine has ended, one
+// request in all entries may probe it.
+func (forwarder *Forwarder) checkQuarantines(exchange *exchange) denial {
+	for _, verdict := range forwarder.quarantines(exchange) {
+		part := verdict.Part()
+		if exchange.probing[part] {
+			continue
+		}
+		if !verdict.ProbeDue() || !forwarder.beginProbe(exchange, part) {
+			return denial{
+				reason:     quarantineReason(verdict),
+				retryAfter: max(verdict.Remaining(), unavailableRetryAfter),
+			}
+		}
+		if exchange.probing == nil {
+			exchange.probing = map[cranberryward.PromptPart]bool{}
+		}
+		exchange.probing[part] = true
+	}
+	return denial{}
+}
+
+// trackerOf returns the tracker of parts of the same kind.
+func (forwarder *Forwarder) trackerOf(part cranberryward.PromptPart) *quarantiner.PartTracker {
+	if part.IsWholeRequest() {
+		return &forwarder.requests.PartTracker
+	}
+	return &forwarder.parts
 }
 
 // beginProbe extends the quarantine of a part in the store, which only one process can do, and returns whether this one has.
 func (forwarder *Forwarder) beginProbe(exchange *exchange, part cranberryward.PromptPart) bool {
-	next, due := forwarder.parts.Probe(part)
+	tracker := forwarder.trackerOf(part)
+	next, due := tracker.Probe(part)
 	if !due || forwarder.options.SaveQuarantine == nil {
 		return false
 	}
@@ -49,7 +90,7 @@
 		_ = level.Info(forwarder.options.Logger).Log("event", "part_probe_failed", "service", part.Service, "part", part.ID, "error", err)
 		return false
 	}
-	forwarder.parts.MarkSaved(saved)
+	tracker.MarkSaved(saved)
 	_ = level.Info(forwarder.options.Logger).Log("event", "part_probed", "service", part.Service, "part", part.ID, "request", exchange.metadata.ID, "level", next.Level)
 	return true
 }
@@ -59,11 +100,37 @@
 	forwarder.parts.RecordServed(exchange.service, exchange.metadata.PromptParts)
 }
 
-// recordPartCrash charges a crash to the prompt parts of a request whose send broke off before any event arrived, if the backend server has crashed and
-// neither the caller nor the deadline ended the send; begun is whether the response had begun.
+// recordBreak charges a send that broke off before any event arrived to its request and, if the backend server has crashed, to the shared parts of its prompt,
+// unless the caller or the deadline ended the send; begun is whether the response had begun.
+func (forwarder *Forwarder) recordBreak(exchange *exchange, server cranberryward.BackendServer, begun bool) {
+	if exchange.ctx.Err() != nil {
+		return
+	}
+	forwarder.recordLateBreak(exchange, server)
+	// A caller that leaves now does not undo the crash.
+	if !refusesConnections(context.WithoutCancel(exchange.ctx), server.Address) {
+		return
+	}
+	request := exchange.wholeRequest()
+	forwarder.requests.RecordBreak(request, server.ID, exchange.sentAt, true)
+	quarantined := forwarder.requests.Check(request.Service, []string{request.ID}).Blocked()
+	meter.CountRequestCrash(quarantined)
+	_ = level.Info(forwarder.options.Logger).Log("event", "request_suspected", "service", request.Service, "fingerprint", exchange.fingerprint(),
+		"request", exchange.metadata.ID, "backend_server", server.ID, "begun", begun, "quarantined", quarantined)
+	forwarder.recordPartCrash(exchange, server, begun)
+}
+
+// recordLateBreak charges a send that broke off after events had arrived to its request, unless the caller or the deadline ended the send.
+func (forwarder *Forwarder) recordLateBreak(exchange *exchange, server cranberryward.BackendServer) {
+	if exchange.ctx.Err() == nil {
+		forwarder.requests.RecordBreak(exchange.wholeRequest(), server.ID, exchange.sentAt, false)
+	}
+}
+
+// recordPartCrash charges a crash to the shared parts of a request's prompt.
 func (forwarder *Forwarder) recordPartCrash(exchange *exchange, server cranberryward.BackendServer, begun bool) {
 	shared := exchange.metadata.SharedParts()
-	if len(shared) == 0 || exchange.ctx.Err() != nil || !refusesConnections(exchange.ctx, server.Address) {
+	if len(shared) == 0 {
 		return
 	}
 	charged := forwarder.parts.RecordCrash(exchange.service, server.ID, shared, begun)
@@ -91,28 +158,62 @@
 	return false
 }
 
-// PartReports returns what this entry has to report to the others on prompt parts that may crash backend servers.
+// PartReports returns what this entry has to report to the others on prompt parts and requests that may crash backend servers.
 func (forwarder *Forwarder) PartReports() []cranberryward.PartReport {
-	return forwarder.parts.Reports()
+	return slices.Concat(forwarder.requests.Reports(), forwarder.parts.Reports())
+}
+
+// AllPartReports returns what an entry that has just started has to know.
+func (forwarder *Forwarder) AllPartReports() []cranberryward.PartReport {
+	return slices.Concat(forwarder.requests.AllReports(), forwarder.parts.AllReports())
 }
 
-// PartsChanged returns a channel that receives a value when there is something new to report.
+// PartsChanged returns a channel that receives a value when there is something new to report on prompt parts.
 func (forwarder *Forwarder) PartsChanged() <-chan struct{} { return forwarder.parts.Changed() }
 
-// MergeParts merges what another entry reports on prompt parts.
+// RequestsChanged returns a channel that receives a value when there is something new to report on requests.
+func (forwarder *Forwarder) RequestsChanged() <-chan struct{} { return forwarder.requests.Changed() }
+
+// MergeParts merges what another entry reports on prompt parts and requests.
 func (forwarder *Forwarder) MergeParts(reports []cranberryward.PartReport) {
-	forwarder.parts.Merge(reports)
+	var parts, requests []cranberryward.PartReport
+	for _, report := range reports {
+		if report.IsWholeRequest() {
+			requests = append(requests, report)
+		} else {
+			parts = append(parts, report)
+		}
+	}
+	forwarder.parts.Merge(parts)
+	forwarder.requests.Merge(requests)
+}
+
+// mergeStored merges the quarantines in a view.
+func (forwarder *Forwarder) mergeStored(view cranberryward.View) {
+	parts, requests := map[string]cranberryward.Quarantine{}, map[string]cranberryward.Quarantine{}
+	for key, quarantine := range view.Quarantines {
+		if quarantine.IsWholeRequest() {
+			requests[key] = quarantine
+		} else {
+			parts[key] = quarantine
+		}
+	}
+	forwarder.parts.MergeStored(parts, view.At)
+	forwarder.requests.MergeStored(requests, view.At)
 }
 
 // UnsavedQuarantines returns the quarantines that this entry should store; entries is the number of entries that may do so.
 func (forwarder *Forwarder) UnsavedQuarantines(entries int) []cranberryward.Quarantine {
-	return forwarder.parts.Unsaved(entries)
+	return slices.Concat(forwarder.requests.Unsaved(entries), forwarder.parts.Unsaved(entries))
 }
 
 // MarkQuarantineSaved records that the store holds a quarantine.
 func (forwarder *Forwarder) MarkQuarantineSaved(quarantine cranberryward.Quarantine) {
-	forwarder.parts.MarkSaved(quarantine)
+	forwarder.trackerOf(quarantine.PromptPart).MarkSaved(quarantine)
 }
 
 // QuarantinedParts returns the number of prompt parts that are quarantined.
 func (forwarder *Forwarder) QuarantinedParts() int { return forwarder.parts.Quarantined() }
+
+// QuarantinedRequests returns the number of requests that are quarantined.
+func (forwarder *Forwarder) QuarantinedRequests() int { return forwarder.requests.Quarantined() }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -34,8 +34,8 @@
 	mayHaveRun bool
 	// mayHaveRunAt holds the ids of the backend servers that may have run the request; the route limits their number.
 	mayHaveRunAt map[string]bool
-	// probing is the prompt part whose quarantine has ended and that this request probes, if any.
-	probing cranberryward.PromptPart
+	// probing holds the parts whose quarantine has ended and that this request probes.
+	probing map[cranberryward.PromptPart]bool
 	// cachedFingerprint is computed by the first call of fingerprint.
 	cachedFingerprint string
 }
@@ -78,6 +78,11 @@
 	return exchange.mayHaveRunAt[server] || len(exchange.mayHaveRunAt) < max(exchange.route.AttemptLimit, 1)
 }
 
+// wholeRequest returns the part that this request shares with equal requests only.
+func (exchange *exchange) wholeRequest() cranberryward.PromptPart {
+	return cranberryward.WholeRequest(exchange.service, exchange.fingerprint())
+}
+
 // fingerprint returns a hash that equal requests of the workspace share.
 func (exchange *exchange) fingerprint() string {
 	if exchange.cachedFingerprint == "" {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -43,8 +43,8 @@
 	budget        budget
 	groups        groups
 	stallDetector stallDetector
-	crashes       quarantiner.CrashCounter
 	parts         quarantiner.PartTracker
+	requests      quarantiner.RequestTracker
 	stopping      atomic.Bool
 	// stopBy is when a stopping process ends, in Unix nanoseconds.
 	stopBy     atomic.Int64
@@ -78,7 +78,7 @@
 		forwarder.table.Store(newTable(view.Deployment))
 	}
 	forwarder.servers.update(view.Servers)
-	forwarder.parts.MergeStored(view.Quarantines, view.At)
+	forwarder.mergeStored(view)
 }
 
 // Configured returns whether the forwarder has a configuration to route requests by.
@@ -155,8 +155,10 @@
 	if forwarder.stopping.Load() && exchange.deadline.UnixNano() > forwarder.stopBy.Load() && time.Until(time.Unix(0, forwarder.stopBy.Load())) < stopReserve {
 		return stopRetryAfter, "stopping"
 	}
-	if verdict := forwarder.parts.Check(exchange.service, exchange.metadata.SharedParts()); verdict.Blocked() && !verdict.ProbeDue() {
-		return verdict.Remaining(), "part_quarantined"
+	for _, verdict := range forwarder.quarantines(exchange) {
+		if !verdict.ProbeDue() {
+			return verdict.Remaining(), quarantineReason(verdict)
+		}
 	}
 	if forwarder.groups.broken(exchange.service) {
 		return groupRetryAfter(), "group_broken"
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -66,11 +66,8 @@
 			retryAfter: brokenRetryAfter,
 		}
 	}
-	if retryAfter, blocked := forwarder.checkParts(exchange); blocked {
-		return nil, denial{
-			reason:     "part_quarantined",
-			retryAfter: retryAfter,
-		}
+	if quarantined := forwarder.checkQuarantines(exchange); quarantined.reason != "" {
+		return nil, quarantined
 	}
 	if exchange.arrivals > 0 {
 		if denied := forwarder.denyRetry(exchange); denied != "" {
@@ -123,9 +120,8 @@
 	if err != nil {
 		response.Abort()
 		forwarder.requestLog.recordBreak(exchange, state.server, 0, err)
-		forwarder.recordCrash(exchange)
 		forwarder.servers.done(state, forwarder.failureOutcome(exchange))
-		forwarder.recordPartCrash(exchange, state.server, true)
+		forwarder.recordBreak(exchange, state.server, true)
 		return false, nil, "answer_broken"
 	}
 	response.Finish()
@@ -139,7 +135,9 @@
 		return false, complete, "backend_server_failed"
 	}
 	forwarder.servers.done(state, outcomeSucceeded)
-	forwarder.clearCrashes(exchange)
+	if status < 400 {
+		forwarder.requests.RecordServed(exchange.service, []string{exchange.wholeRequest().ID})
+	}
 	forwarder.recordServed(exchange)
 	complete.deliver(writer)
 	forwarder.requestLog.recordEnd(exchange, status, "")
@@ -153,11 +151,10 @@
 	if verdict != cranberryward.NotRun {
 		exchange.arrivals++
 		forwarder.requestLog.recordBreak(exchange, state.server, 0, err)
-		forwarder.recordCrash(exchange)
 	}
 	forwarder.servers.done(state, forwarder.failureOutcome(exchange))
 	if verdict != cranberryward.NotRun {
-		forwarder.recordPartCrash(exchange, state.server, false)
+		forwarder.recordBreak(exchange, state.server, false)
 	}
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -120,19 +120,19 @@
 			response.MarkComplete()
 			response.Finish()
 			forwarder.servers.done(state, outcomeSucceeded)
-			forwarder.clearCrashes(exchange)
+			forwarder.requests.RecordServed(exchange.service, []string{exchange.wholeRequest().ID})
 			forwarder.servers.recordDuration(exchange.service, time.Since(exchange.arrived))
 			forwarder.requestLog.recordStream(exchange, relay)
 			return true
 		}
 		response.Abort()
 		forwarder.requestLog.recordBreak(exchange, state.server, relay.events, err)
-		if !relay.stalled(exchange) {
-			forwarder.recordCrash(exchange)
-		}
 		forwarder.servers.done(state, forwarder.failureOutcome(exchange))
-		if relay.events == 0 {
-			forwarder.recordPartCrash(exchange, state.server, true)
+		switch {
+		case relay.events == 0:
+			forwarder.recordBreak(exchange, state.server, true)
+		case !relay.stalled(exchange):
+			forwarder.recordLateBreak(exchange, state.server)
 		}
 		if !relay.headerSent {
 			return false
@@ -157,7 +157,7 @@
 			return nil, nil
 		}
 		permit := exchange.permit()
-		if _, blocked := forwarder.checkParts(exchange); blocked {
+		if quarantined := forwarder.checkQuarantines(exchange); quarantined.reason != "" {
 			return nil, nil
 		}
 		if permit == nil || forwarder.denyRetry(exchange) != "" {
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -26,7 +26,7 @@
 	// refreshAge is the age of the snapshot at which an entry reads the store; with its jitter it stays well below the bounds for configuration and
 	// drain.
 	refreshAge = 450 * time.Millisecond
-	// shareInterval is how often the load that other entries announced is applied, crashes are announced and expired idle connections are closed.
+	// shareInterval is how often the load that other entries announced is applied, suspects are announced and expired idle connections are closed.
 	shareInterval = 250 * time.Millisecond
 	// deregistrationDelay is how long the platform may send new connections after the entry has reported that it is not ready: two checks, one a
 	// second.
@@ -103,8 +103,8 @@
 		InFlightByServer: entry.forwarder.InFlightByServer,
 		OnNotice:         entry.handleNotice,
 		OnLoad:           entry.forwarder.SetGroupLoad,
-		OnCrashes:        entry.forwarder.MergeCrashes,
 		OnParts:          entry.forwarder.MergeParts,
+		OnEntryStarting:  entry.sendParts,
 		OnLimits:         entry.forwarder.MergeLimits,
 		Logger:           logger,
 	}, store, entry.client)
@@ -152,6 +152,7 @@
 	})
 	go entry.relayer.Run(ctx)
 	meter.RegisterGauge("quarantined_parts", func() float64 { return float64(entry.forwarder.QuarantinedParts()) })
+	meter.RegisterGauge("quarantined_requests", func() float64 { return float64(entry.forwarder.QuarantinedRequests()) })
 	go entry.shareLoad(ctx)
 	go entry.keepQuarantines(ctx)
 	return nil
@@ -188,7 +189,7 @@
 	return entry.limits
 }
 
-// shareLoad periodically applies the load that the other entries announced, announces crashes, suspect prompt parts and limits of backend servers, and closes expired idle connections.
+// shareLoad periodically applies the load that the other entries announced, announces suspect prompt parts and requests and limits of backend servers, and closes expired idle connections.
 func (entry *Entry) shareLoad(ctx context.Context) {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
@@ -199,6 +200,9 @@
 		case <-entry.forwarder.PartsChanged():
 			entry.announceParts()
 			continue
+		case <-entry.forwarder.RequestsChanged():
+			entry.announceParts()
+			continue
 		case <-ticker.C:
 		}
 		peerLoads := map[string]int{}
@@ -209,9 +213,6 @@
 		}
 		entry.maxEntries.Store(max(int64(entry.relayer.CountEntries()), entry.maxEntries.Load()))
 		entry.forwarder.SetPeerLoads(peerLoads)
-		if crashed := entry.forwarder.RecentCrashes(); len(crashed) > 0 {
-			entry.relayer.AnnounceCrashes(crashed)
-		}
 		entry.announceParts()
 		if limits := entry.forwarder.LimitReports(); len(limits) > 0 {
 			entry.relayer.AnnounceLimits(limits)
--- a/gateway/entry/quarantine.go
+++ b/gateway/entry/quarantine.go
@@ -29,6 +29,13 @@
 	}
 }
 
+// sendParts tells an entry that is starting what this one knows about prompt parts and requests that crash backend servers, before it has a configuration to serve by.
+func (entry *Entry) sendParts(address string) {
+	if reports := entry.forwarder.AllPartReports(); len(reports) > 0 {
+		entry.relayer.SendParts(address, reports)
+	}
+}
+
 // keepQuarantines stores the quarantines that this entry should store until the context ends.
 func (entry *Entry) keepQuarantines(ctx context.Context) {
 	pause := saveInterval
--- a/gateway/soaker/fault_test.go
+++ b/gateway/soaker/fault_test.go
@@ -150,6 +150,20 @@
 				deployment.awaitGroup()
 			}
 		}},
+		{"a crashing request", func(random *rand.Rand) func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			kind := pick(random, []kind{booking, lookup, stream})
+			go func() {
+				defer close(ended)
+				deployment.runRepeats(ctx, kind)
+			}()
+			return func() {
+				cancel()
+				<-ended
+				deployment.awaitGroup()
+			}
+		}},
 		{"orders lost", func(random *rand.Rand) func() {
 			rank := deployment.group.Rank(random.IntN(deployment.group.RankCount()))
 			rank.SetFault(func(rankserver.Order) rankserver.Fault {
--- a/message_quarantine.go
+++ b/message_quarantine.go
@@ -2,21 +2,40 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
-// PromptPart identifies a part that prompts of a service share, by the ID under which callers name it.
+// wholeRequestPrefix precedes the fingerprint in the ID of a part that stands for whole requests; callers' IDs do not contain slashes.
+const wholeRequestPrefix = "request/"
+
+// PromptPart identifies a part that prompts of a service share, by the ID under which callers name it, or what equal requests share.
 type PromptPart struct {
 	Service string `json:"service"`
 	ID      string `json:"id"`
 }
 
+// WholeRequest returns the part that only requests with the same fingerprint share.
+func WholeRequest(service, fingerprint string) PromptPart {
+	return PromptPart{
+		Service: service,
+		ID:      wholeRequestPrefix + fingerprint,
+	}
+}
+
+// IsWholeRequest returns whether the part stands for whole requests.
+func (promptPart PromptPart) IsWholeRequest() bool {
+	return strings.HasPrefix(promptPart.ID, wholeRequestPrefix)
+}
+
 // PartCrash is a crash of a backend server while it held a request with a prompt part.
 type PartCrash struct {
 	Server string `json:"server"`
 	AgeMS  int64  `json:"age_ms"`
 	// Points is how strongly the crash speaks against the part.
 	Points int `json:"points"`
+	// HeldMS is how long the backend server had held the request, if it is known.
+	HeldMS int64 `json:"held_ms,omitempty"`
 }
 
 // PartReport is what one process knows about a prompt part that may crash backend servers.
@@ -30,13 +49,20 @@
 	RemainingMS int64 `json:"remaining_ms,omitempty"`
 }
 
-// Quarantine is the stored quarantine of a prompt part; level zero means that the part was found to be sound.
+// Quarantine is the stored quarantine of a prompt part; level zero means that the part was found to be sound or, if Server is set, that it is suspect.
 type Quarantine struct {
 	PromptPart
 	Level     int       `json:"level"`
 	Until     time.Time `json:"until"`
 	CrashedAt time.Time `json:"crashed_at"`
-	Revision  uint64    `json:"-"`
+	// Server is the backend server that a suspect crashed.
+	Server   string `json:"server,omitempty"`
+	Revision uint64 `json:"-"`
+}
+
+// Suspicion returns whether the part is suspect without being quarantined.
+func (quarantine Quarantine) Suspicion() bool {
+	return quarantine.Level == 0 && quarantine.Server != ""
 }
 
 // QuarantineStore keeps quarantines beyond the life of a process.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,6 +37,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("gateway_part_crashes_total{quarantined=%q}", fmt.Sprint(quarantined))).Inc()
 }
 
+// CountRequestCrash counts a crash that is charged to a whole request, and whether the request is quarantined.
+func CountRequestCrash(quarantined bool) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("gateway_request_crashes_total{quarantined=%q}", fmt.Sprint(quarantined))).Inc()
+}
+
 // CountStoreRead counts a read of the store and whether it failed.
 func CountStoreRead(failed bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("gateway_store_reads_total{failed=%q}", fmt.Sprint(failed))).Inc()
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -1,2 +1,2 @@
-// Package quarantiner limits how many backend servers a request that crashes them can take down.
+// Package quarantiner limits how many backend servers a request, or a part that requests share, can take down.
 package quarantiner
--- a/quarantiner/part_exchange.go
+++ b/quarantiner/part_exchange.go
@@ -1,7 +1,9 @@
 package quarantiner
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -18,24 +20,51 @@
 	fallbackSaveTime = 3 * time.Second
 )
 
-// Reports returns what this process has to report to its peers: what it learned within recentWindow, and quarantines that are not stored yet.
+// Reports returns what this process has to report to its peers: what it learned within recentWindow, and what is not stored yet.
 func (partTracker *PartTracker) Reports() []cranberryward.PartReport {
+	return partTracker.reports(func(suspect *partSuspect, now time.Time) bool {
+		return now.Sub(suspect.changedAt) <= recentWindow || suspect.repeats(now)
+	})
+}
+
+// AllReports returns what a process that has just started has to know.
+func (partTracker *PartTracker) AllReports() []cranberryward.PartReport {
+	return partTracker.reports(func(suspect *partSuspect, now time.Time) bool {
+		return (suspect.level > 0 || suspect.score() > 0) && !suspect.expired(now)
+	})
+}
+
+// reports returns the reports of the parts that are due, at most maxPartReports of those that matter most.
+func (partTracker *PartTracker) reports(isDue func(suspect *partSuspect, now time.Time) bool) []cranberryward.PartReport {
 	partTracker.mutex.Lock()
 	defer partTracker.mutex.Unlock()
-	var reports []cranberryward.PartReport
+	var due []*partSuspect
 	now := time.Now()
 	for _, suspect := range partTracker.suspects {
-		if len(reports) < maxPartReports && (now.Sub(suspect.changedAt) <= recentWindow || suspect.repeats(now)) {
-			suspect.heardAt = now
-			reports = append(reports, suspect.report(now))
+		if isDue(suspect, now) {
+			due = append(due, suspect)
 		}
 	}
+	slices.SortFunc(due, func(one, other *partSuspect) int {
+		return cmp.Or(cmp.Compare(other.level, one.level), cmp.Compare(other.score(), one.score()))
+	})
+	var reports []cranberryward.PartReport
+	for _, suspect := range due[:min(len(due), maxPartReports)] {
+		suspect.heardAt = now
+		reports = append(reports, suspect.report(now))
+	}
 	return reports
 }
 
-// repeats returns whether a quarantine that the store does not hold is to be reported again because no process has done so for a while.
+// repeats returns whether a quarantine or suspicion that the store does not hold is to be reported again because no process has done so for a while.
 func (partSuspect *partSuspect) repeats(now time.Time) bool {
-	return partSuspect.level > 0 && partSuspect.stored.Level == 0 && now.Sub(partSuspect.heardAt) > repeatInterval+rand.N(2*repeatInterval)
+	unsaved := partSuspect.level > 0 && partSuspect.stored.Level == 0 || partSuspect.hasUnsavedSuspicion()
+	return unsaved && now.Sub(partSuspect.heardAt) > repeatInterval+rand.N(2*repeatInterval)
+}
+
+// hasUnsavedSuspicion returns whether the part stands for a whole request that crashed a backend server and is not quarantined, which the store does not show.
+func (partSuspect *partSuspect) hasUnsavedSuspicion() bool {
+	return partSuspect.part.IsWholeRequest() && partSuspect.level == 0 && partSuspect.stored.Level == 0 && partSuspect.stored.Server == "" && partSuspect.score() > 0
 }
 
 func (partSuspect *partSuspect) report(now time.Time) cranberryward.PartReport {
@@ -51,15 +80,32 @@
 		report.RemainingMS = partSuspect.until.Sub(now).Milliseconds()
 	}
 	for _, crash := range partSuspect.crashes {
-		report.Crashes = append(report.Crashes, cranberryward.PartCrash{
+		reported := cranberryward.PartCrash{
 			Server: crash.server,
 			AgeMS:  now.Sub(crash.at).Milliseconds(),
 			Points: crash.points,
-		})
+		}
+		if !crash.since.IsZero() {
+			reported.HeldMS = max(crash.at.Sub(crash.since).Milliseconds(), 0) + 1 // zero means that it is not known
+		}
+		report.Crashes = append(report.Crashes, reported)
 	}
 	return report
 }
 
+// crashOf returns the crash that a peer has reported.
+func crashOf(reported cranberryward.PartCrash, now time.Time) partCrash {
+	crash := partCrash{
+		server: reported.Server,
+		at:     now.Add(-time.Duration(reported.AgeMS) * time.Millisecond),
+		points: min(reported.Points, newPartPoints),
+	}
+	if reported.HeldMS > 0 {
+		crash.since = crash.at.Add(-time.Duration(reported.HeldMS)*time.Millisecond - reportDelay)
+	}
+	return crash
+}
+
 // Merge merges the reports of a peer. If this process has answered requests with a reported part that the peer does not know of, it reports that in turn.
 func (partTracker *PartTracker) Merge(reports []cranberryward.PartReport) {
 	partTracker.mutex.Lock()
@@ -85,11 +131,7 @@
 		reported = now.Add(-time.Duration(report.ServedAgeMS) * time.Millisecond)
 	}
 	for _, crash := range report.Crashes[:min(len(report.Crashes), maxCrashesPerPart)] {
-		partSuspect.addCrash(partCrash{
-			server: crash.Server,
-			at:     now.Add(-time.Duration(crash.AgeMS) * time.Millisecond),
-			points: min(crash.Points, newPartPoints),
-		})
+		partSuspect.addCrash(crashOf(crash, now))
 	}
 	before := partSuspect.level
 	if report.Level > before && (report.Level > 1 || len(report.Crashes) == 0) {
@@ -119,13 +161,10 @@
 	for _, quarantine := range quarantines {
 		held[quarantine.PromptPart] = true
 		suspect := partTracker.find(quarantine.PromptPart, now)
-		if suspect == nil && quarantine.Level == 0 || suspect != nil && quarantine.Revision <= suspect.stored.Revision {
+		if suspect == nil && storedExpired(quarantine) || suspect != nil && quarantine.Revision <= suspect.stored.Revision {
 			continue
 		}
 		if suspect == nil {
-			if remaining := time.Until(quarantine.Until); remaining < -probeWindow {
-				continue
-			}
 			suspect = partTracker.get(quarantine.PromptPart, now)
 		}
 		suspect.merge(quarantine, now)
@@ -137,9 +176,21 @@
 	}
 }
 
+// storedExpired returns whether a stored quarantine says nothing about a part that is not suspect here.
+func storedExpired(quarantine cranberryward.Quarantine) bool {
+	if quarantine.Suspicion() {
+		return time.Since(quarantine.CrashedAt) > requestSuspectTTL
+	}
+	return quarantine.Level == 0 || time.Until(quarantine.Until) < -probeWindow
+}
+
 // merge applies a stored quarantine, whose times are those of the writer's clock.
 func (partSuspect *partSuspect) merge(quarantine cranberryward.Quarantine, now time.Time) {
 	partSuspect.stored = quarantine
+	if quarantine.Suspicion() {
+		partSuspect.mergeSuspicion(quarantine, now)
+		return
+	}
 	if quarantine.Level == 0 {
 		partSuspect.level, partSuspect.crashes = 0, nil
 		return
@@ -154,21 +205,30 @@
 	}
 }
 
-// Unsaved returns the quarantines that have begun or ended and that the store does not show as such; entries is the number of processes that may save them.
+// mergeSuspicion adds the crash of a stored suspicion, unless one at the same backend server is known: by the clock of another process, it would count as two.
+func (partSuspect *partSuspect) mergeSuspicion(quarantine cranberryward.Quarantine, now time.Time) {
+	known := func(crash partCrash) bool { return crash.server == quarantine.Server }
+	if slices.ContainsFunc(partSuspect.crashes, known) {
+		return
+	}
+	partSuspect.addCrash(partCrash{
+		server: quarantine.Server,
+		at:     now.Add(-max(time.Since(quarantine.CrashedAt), 0)),
+		points: servedPartPoints,
+	})
+	partSuspect.applyThreshold(now)
+}
+
+// Unsaved returns the quarantines and suspicions that have begun or ended and that the store does not show as such; entries is the number of processes that
+// may save them.
 func (partTracker *PartTracker) Unsaved(entries int) []cranberryward.Quarantine {
 	partTracker.mutex.Lock()
 	defer partTracker.mutex.Unlock()
 	var unsaved []cranberryward.Quarantine
 	now := time.Now()
 	for _, suspect := range partTracker.suspects {
-		if (suspect.level > 0) == (suspect.stored.Level > 0) || suspect.expired(now) {
-			continue
-		}
-		since := suspect.quarantinedAt
-		if suspect.level == 0 {
-			since = suspect.servedAt
-		}
-		if now.Sub(since) < suspect.saveDelay(entries) {
+		since, changed := suspect.unsavedSince()
+		if !changed || suspect.expired(now) || now.Sub(since) < suspect.saveDelay(entries) {
 			continue
 		}
 		unsaved = append(unsaved, suspect.quarantine())
@@ -176,6 +236,19 @@
 	return unsaved
 }
 
+// unsavedSince returns when the state of the part changed that the store does not show, if it does not.
+func (partSuspect *partSuspect) unsavedSince() (since time.Time, changed bool) {
+	switch {
+	case partSuspect.level > 0:
+		return partSuspect.quarantinedAt, partSuspect.stored.Level == 0
+	case partSuspect.stored.Level > 0:
+		return partSuspect.servedAt, true
+	default:
+		// Any other process has the crash from a report only, and leaves it to the one that saw it.
+		return partSuspect.crashedAt, partSuspect.observed && partSuspect.hasUnsavedSuspicion()
+	}
+}
+
 // saveDelay returns how long after its beginning or end this process saves a quarantine: the process that saw the crash does so first, the others one after the
 // other, if it does not.
 func (partSuspect *partSuspect) saveDelay(entries int) time.Duration {
@@ -187,13 +260,19 @@
 
 // quarantine returns the quarantine as it is to be stored.
 func (partSuspect *partSuspect) quarantine() cranberryward.Quarantine {
-	return cranberryward.Quarantine{
+	quarantine := cranberryward.Quarantine{
 		PromptPart: partSuspect.part,
 		Level:      partSuspect.level,
 		Until:      partSuspect.until,
 		CrashedAt:  partSuspect.crashedAt,
 		Revision:   partSuspect.stored.Revision,
 	}
+	for _, crash := range partSuspect.crashes {
+		if partSuspect.level == 0 && crash.points > unconfirmedPoints {
+			quarantine.Server, quarantine.CrashedAt = crash.server, crash.at
+		}
+	}
+	return quarantine
 }
 
 // Probe returns the next quarantine of a part whose current one has ended; whoever stores it first may send one request with the part.
@@ -207,12 +286,15 @@
 	}
 	next = suspect.quarantine()
 	next.Level++
-	next.Until = now.Add(quarantineTime(next.Level))
+	next.Until = now.Add(suspect.quarantineTime(next.Level))
 	return next, true
 }
 
 // StorageTime returns how long the store must hold a quarantine.
 func StorageTime(quarantine cranberryward.Quarantine) time.Duration {
+	if quarantine.Suspicion() {
+		return requestSuspectTTL
+	}
 	return max(time.Until(quarantine.Until), 0) + probeWindow
 }
 
--- a/quarantiner/part_suspect.go
+++ b/quarantiner/part_suspect.go
@@ -16,8 +16,12 @@
 	servedPartPoints = quarantinePoints / 2
 	// waitingPoints is for a crash while such a request waited at the backend server.
 	waitingPoints = quarantinePoints / 3
-	// sameCrashWindow is the time within which entries see the same crash; a backend server is down for longer.
+	// unconfirmedPoints is for a send that broke off at a backend server that may not have crashed: it speaks against a retry, not for a quarantine.
+	unconfirmedPoints = 0
+	// sameCrashWindow is the time within which entries see the same crash if it is not known since when the backend server held their requests, and
+	// reportDelay how much later than it happened a crash may seem to have happened to a process that hears of it.
 	sameCrashWindow = 2 * time.Second
+	reportDelay     = 100 * time.Millisecond
 	// maxCrashesPerPart bounds the crashes that are remembered of a part.
 	maxCrashesPerPart = 4
 	// firstQuarantine is how long a part is quarantined first; each further quarantine in a row is twice as long, up to maxQuarantine.
@@ -25,8 +29,14 @@
 	maxQuarantine   = 8 * time.Minute
 	// probeWindow is how long after its quarantine a part waits for a request that probes it; after that it counts as sound.
 	probeWindow = 90 * time.Second
-	// suspectTTL is how long a part that is not quarantined stays suspect after its last crash.
-	suspectTTL = time.Minute
+	// suspectTTL is how long a part that is not quarantined stays suspect after its last crash, and requestSuspectTTL the same for a whole request, of
+	// which callers may send only a few in that time.
+	suspectTTL        = time.Minute
+	requestSuspectTTL = 5 * time.Minute
+	// servedRequestQuarantine is how long a request that has been answered before is quarantined first; its crashes may be those of a service that fails
+	// as a whole, and many callers may send it. Each further quarantine is servedRequestFactor times as long.
+	servedRequestQuarantine = 5 * time.Second
+	servedRequestFactor     = 4
 )
 
 // partSuspect is a prompt part whose requests were at backend servers that crashed.
@@ -57,14 +67,31 @@
 	server string
 	at     time.Time
 	points int
+	// since is when the request was sent to the backend server, or zero.
+	since time.Time
+}
+
+// same returns whether two records are of one crash: a request that was sent after a crash was not there.
+func (partCrash partCrash) same(other partCrash) bool {
+	if partCrash.server != other.server {
+		return false
+	}
+	if partCrash.since.IsZero() || other.since.IsZero() {
+		return partCrash.at.Sub(other.at).Abs() < sameCrashWindow
+	}
+	return partCrash.since.Before(other.at) && other.since.Before(partCrash.at)
 }
 
 // points returns the points of a crash: a part that has been answered before is no new part, whoever answered it.
 func (partSuspect *partSuspect) points(crash partCrash) int {
-	if !partSuspect.servedAt.IsZero() {
+	switch {
+	case partSuspect.servedAt.IsZero():
+		return crash.points
+	case partSuspect.part.IsWholeRequest():
+		return min(crash.points, waitingPoints)
+	default:
 		return min(crash.points, servedPartPoints)
 	}
-	return crash.points
 }
 
 // score returns the sum of the points of all crashes.
@@ -93,13 +120,13 @@
 		return false
 	}
 	for i, known := range partSuspect.crashes {
-		if known.server == crash.server && crash.at.Sub(known.at).Abs() < sameCrashWindow {
+		if known.same(crash) {
 			partSuspect.crashes[i].points = max(known.points, crash.points)
 			return crash.points > known.points
 		}
 	}
 	if len(partSuspect.crashes) == maxCrashesPerPart {
-		partSuspect.crashes = slices.Delete(partSuspect.crashes, 0, 1)
+		partSuspect.dropWeakestCrash()
 	}
 	partSuspect.crashes = append(partSuspect.crashes, crash)
 	if crash.at.After(partSuspect.crashedAt) {
@@ -108,6 +135,17 @@
 	return true
 }
 
+// dropWeakestCrash drops the first of the crashes with the fewest points.
+func (partSuspect *partSuspect) dropWeakestCrash() {
+	weakest := 0
+	for i, crash := range partSuspect.crashes {
+		if crash.points < partSuspect.crashes[weakest].points {
+			weakest = i
+		}
+	}
+	partSuspect.crashes = slices.Delete(partSuspect.crashes, weakest, weakest+1)
+}
+
 // setServed records when a request with the part was answered, drops the crashes before, and returns whether that changes the suspicion.
 func (partSuspect *partSuspect) setServed(at time.Time) bool {
 	if at.IsZero() || !at.After(partSuspect.servedAt) {
@@ -128,7 +166,7 @@
 	score := partSuspect.score()
 	switch {
 	case partSuspect.level == 0 && score >= quarantinePoints:
-		partSuspect.level, partSuspect.until, partSuspect.quarantinedAt = 1, now.Add(firstQuarantine), now
+		partSuspect.level, partSuspect.until, partSuspect.quarantinedAt = 1, now.Add(partSuspect.quarantineTime(1)), now
 	case partSuspect.level == 1 && len(partSuspect.crashes) > 0 && score < quarantinePoints && partSuspect.stored.Level == 0:
 		partSuspect.level = 0
 	}
@@ -139,14 +177,21 @@
 	if partSuspect.level > 0 {
 		return now.Sub(partSuspect.until) > probeWindow
 	}
-	return now.Sub(partSuspect.crashedAt) > suspectTTL && now.Sub(partSuspect.changedAt) > suspectTTL
+	ttl := suspectTTL
+	if partSuspect.part.IsWholeRequest() {
+		ttl = requestSuspectTTL
+	}
+	return now.Sub(partSuspect.crashedAt) > ttl && now.Sub(partSuspect.changedAt) > ttl
 }
 
 // quarantineTime returns the length of a quarantine of a level.
-func quarantineTime(level int) time.Duration {
-	length := firstQuarantine
+func (partSuspect *partSuspect) quarantineTime(level int) time.Duration {
+	length, factor := firstQuarantine, time.Duration(2)
+	if partSuspect.part.IsWholeRequest() && !partSuspect.servedAt.IsZero() {
+		length, factor = servedRequestQuarantine, servedRequestFactor
+	}
 	for ; level > 1 && length < maxQuarantine; level-- {
-		length *= 2
+		length *= factor
 	}
 	return min(length, maxQuarantine)
 }
--- a/quarantiner/part_tracker.go
+++ b/quarantiner/part_tracker.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxSuspects bounds the parts that are suspect or quarantined at one time.
-	maxSuspects = 256
+	// maxSuspects bounds the parts that are suspect or quarantined at one time, and recentWindow is how long a change is reported to peers, so that a peer that
+	// lost one notice gets another.
+	maxSuspects  = 256
+	recentWindow = time.Second
 	// minServedParts is how many parts must have been answered before a part counts as new: a process that has just started knows none.
 	minServedParts = 16
 )
@@ -208,8 +210,8 @@
 	return suspect
 }
 
-// evict drops the expired suspects and, if there are none, the one that matters least: a part that is not quarantined goes before one that is, and the one whose
-// last crash is the longest ago goes first.
+// evict drops the expired suspects and, if there are none, the one that matters least: a part that is not quarantined goes before one that is, one without a
+// confirmed crash before one with such, and the one whose last crash is the longest ago goes first.
 func (partTracker *PartTracker) evict(now time.Time) {
 	var least *partSuspect
 	for part, suspect := range partTracker.suspects {
@@ -230,6 +232,9 @@
 	if (partSuspect.level > 0) != (other.level > 0) {
 		return partSuspect.level == 0
 	}
+	if confirmed := partSuspect.score() > 0; confirmed != (other.score() > 0) {
+		return !confirmed
+	}
 	return partSuspect.crashedAt.Before(other.crashedAt)
 }
 
--- a/relayer/crashes.go
+++ b/relayer/crashes.go
@@ -2,16 +2,7 @@
 
 import "github.com/cranberryward/cranberryward"
 
-// AnnounceCrashes sends the entries the number of backend servers that each of a few requests, by fingerprint, crashed at this entry.
-func (relayer *Relayer) AnnounceCrashes(crashed map[string]int) {
-	notice := Notice{
-		From:    relayer.options.Address,
-		Crashed: crashed,
-	}
-	relayer.spread(notice, true)
-}
-
-// AnnounceParts tells the entries what this one knows about prompt parts that may crash backend servers.
+// AnnounceParts tells the entries what this one knows about prompt parts and requests that may crash backend servers.
 func (relayer *Relayer) AnnounceParts(parts []cranberryward.PartReport) {
 	notice := Notice{
 		From:  relayer.options.Address,
@@ -22,6 +13,16 @@
 	relayer.spread(notice, true)
 }
 
+// SendParts tells one entry what this one knows about prompt parts and requests that may crash backend servers.
+func (relayer *Relayer) SendParts(address string, parts []cranberryward.PartReport) {
+	notice := Notice{
+		From:    relayer.options.Address,
+		Parts:   parts,
+		AgeOnly: true,
+	}
+	relayer.send(notice, []string{address})
+}
+
 // AnnounceLimits tells the entries the limits that backend servers have named to this one.
 func (relayer *Relayer) AnnounceLimits(limits []cranberryward.LimitReport) {
 	notice := Notice{
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -31,9 +31,9 @@
 	Running map[string]int `json:"running,omitempty"`
 	// Group is the state of the group of the rank next to this agent.
 	Group *cranberryward.GroupState `json:"group,omitempty"`
-	// Crashed counts the backend servers that each of a few requests, by fingerprint, recently crashed at this entry.
+	// Crashed is sent by earlier builds and ignored; Parts tells of requests too.
 	Crashed map[string]int `json:"crashed,omitempty"`
-	// Parts tells what the sender knows about prompt parts that may crash backend servers.
+	// Parts tells what the sender knows about prompt parts and requests that may crash backend servers.
 	Parts []cranberryward.PartReport `json:"parts,omitempty"`
 	// Limits tells the limits that backend servers have named to the sender.
 	Limits []cranberryward.LimitReport `json:"limits,omitempty"`
--- a/relayer/message_options.go
+++ b/relayer/message_options.go
@@ -24,10 +24,10 @@
 	InFlightByServer func() map[string]int
 	// OnLoad is called with the load of a group that its controller announces.
 	OnLoad func(load cranberryward.GroupLoad)
-	// OnCrashes is called with the requests that crashed backend servers at the entry with the given address.
-	OnCrashes func(from string, crashed map[string]int)
 	// OnParts is called with what another entry reports on prompt parts that may crash backend servers.
 	OnParts func(parts []cranberryward.PartReport)
+	// OnEntryStarting is called with the address of an entry that has no snapshot yet.
+	OnEntryStarting func(address string)
 	// OnLimits is called with the limits that backend servers have named to another entry.
 	OnLimits func(limits []cranberryward.LimitReport)
 	// OnNotice is called with every other notice of a peer.
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -77,9 +77,7 @@
 			})
 		}
 	case notice.Crashed != nil:
-		if options.OnCrashes != nil {
-			options.OnCrashes(notice.From, notice.Crashed)
-		}
+		return
 	case notice.Parts != nil:
 		if options.OnParts != nil {
 			options.OnParts(notice.Parts)
@@ -149,6 +147,9 @@
 		go relayer.fetch(notice.From)
 	}
 	if wantsReply {
+		if notice.Entry && relayer.options.OnEntryStarting != nil {
+			relayer.options.OnEntryStarting(notice.From)
+		}
 		reply, _, _ := relayer.composeNotice()
 		relayer.send(reply, []string{notice.From})
 	}
