--- a/gateway/soaker/deployment_test.go
+++ b/gateway/soaker/deployment_test.go
@@ -73,6 +73,10 @@
 
 	mutex   sync.Mutex
 	version uint64
+
+	writtenMutex sync.Mutex
+	// written holds what operators and backend servers last wrote to the store, by key.
+	written map[string][]byte
 }
 
 // newDeployment starts a deployment with the given numbers of entries, ranks and plain backend servers.
@@ -274,9 +278,39 @@
 	if err != nil {
 		deployment.t.Fatal(err)
 	}
+	deployment.writtenMutex.Lock()
+	defer deployment.writtenMutex.Unlock()
+	if deployment.written == nil {
+		deployment.written = map[string][]byte{}
+	}
+	deployment.written[key] = text
 	deployment.store.Put(key, text)
 }
 
+// remove removes a key that operators or backend servers have written.
+func (deployment *deployment) remove(key string) {
+	deployment.writtenMutex.Lock()
+	defer deployment.writtenMutex.Unlock()
+	delete(deployment.written, key)
+	deployment.store.Remove(key)
+}
+
+// writeAgain writes what operators and backend servers have written again and removes what they have removed, as they do after a return of the store.
+func (deployment *deployment) writeAgain(key func(key string) bool) {
+	deployment.writtenMutex.Lock()
+	defer deployment.writtenMutex.Unlock()
+	for _, stored := range deployment.store.Keys() {
+		if _, kept := deployment.written[stored]; !kept && key(stored) && strings.HasPrefix(stored, "servers/") {
+			deployment.store.Remove(stored)
+		}
+	}
+	for written, text := range deployment.written {
+		if key(written) {
+			deployment.store.Put(written, text)
+		}
+	}
+}
+
 // runPasses starts passes in which one hot expert of each set gets half of the demand.
 func (deployment *deployment) runPasses() {
 	ticker := time.NewTicker(passInterval)
--- a/gateway/soaker/fault_test.go
+++ b/gateway/soaker/fault_test.go
@@ -107,6 +107,10 @@
 			deployment.store.Compact()
 			return noop
 		}},
+		{"store returns from an older copy", func(*rand.Rand) func() {
+			older := deployment.store.Copy()
+			return func() { deployment.restore(older, returnDelay) }
+		}},
 		{"store cut off for one process", proxyMode(faulter.Disconnect)},
 		{"store silent for one process", proxyMode(faulter.Freeze)},
 		{"store's responses dropped for one process", proxyMode(faulter.DropResponses)},
@@ -182,7 +186,7 @@
 			id := fmt.Sprintf("app-%d", number)
 			deployment.register(id, "app", deployment.address("3", number, appPort), number, "draining")
 			return func() {
-				deployment.store.Remove("servers/" + id)
+				deployment.remove("servers/" + id)
 				deployment.register(id, "app", deployment.address("3", number, appPort), number, "ready")
 			}
 		}},
@@ -197,7 +201,7 @@
 		}},
 		{"unreadable registration", func(*rand.Rand) func() {
 			deployment.store.Put("servers/foreign", []byte("\x00\xff"))
-			return func() { deployment.store.Remove("servers/foreign") }
+			return func() { deployment.remove("servers/foreign") }
 		}},
 	}
 }
--- a/gateway/soaker/soak_test.go
+++ b/gateway/soaker/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -118,15 +119,8 @@
 	deadline := time.Now().Add(waitTimeout)
 	ticker := time.NewTicker(passInterval)
 	defer ticker.Stop()
-	for attempt := 0; ; attempt++ {
-		ctx, cancel := context.WithTimeout(context.Background(), callerTime)
-		status := 0
-		response, err := deployment.send(ctx, transport, entry, lookup, fmt.Sprintf("key-%s-%d-%d", key, entry, attempt), key)
-		if err == nil {
-			status = response.StatusCode
-			_ = response.Body.Close() // only the status is needed
-		}
-		cancel()
+	for {
+		status := deployment.statusOf(transport, entry, key)
 		if status == expected {
 			return
 		}
@@ -137,6 +131,21 @@
 	}
 }
 
+// attempts numbers the requests that check which keys are accepted.
+var attempts atomic.Int64
+
+// statusOf returns the status of the answer to a request with a key, or zero if there is none.
+func (deployment *deployment) statusOf(transport *http.Transport, entry int, key string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
+	defer cancel()
+	response, err := deployment.send(ctx, transport, entry, lookup, fmt.Sprintf("key-%s-%d-%d", key, entry, attempts.Add(1)), key)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close() // only the status is needed
+	return response.StatusCode
+}
+
 // stopAndCheck stops all processes and reports each violation of a guarantee.
 func (deployment *deployment) stopAndCheck() {
 	deployment.awaitNextPass()
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -38,6 +40,7 @@
 	handler http.Handler
 
 	mutex             sync.Mutex
+	era               uint64
 	revision          uint64
 	items             map[string]Item
 	history           []Item
@@ -52,6 +55,7 @@
 // New returns an empty store.
 func New() *Server {
 	server := &Server{
+		era:      1,
 		revision: 1,
 		items:    map[string]Item{},
 		leases:   map[uint64]*lease{},
@@ -98,6 +102,23 @@
 	server.remove(key)
 }
 
+// Keys returns the keys that the store holds.
+func (server *Server) Keys() []string {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return slices.Collect(maps.Keys(server.items))
+}
+
+// TotalCalls returns the number of all calls.
+func (server *Server) TotalCalls() (count int) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, calls := range server.calls {
+		count += calls
+	}
+	return count
+}
+
 // Compact drops the history up to the current revision, so that watches from earlier revisions fail with status 410.
 func (server *Server) Compact() {
 	server.mutex.Lock()
@@ -108,6 +129,7 @@
 // ServeHTTP serves a call or injects its fault.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	server.mutex.Lock()
+	writer.Header().Set("Store-Era", strconv.FormatUint(server.era, 10))
 	server.calls[request.URL.Path]++
 	fault := FaultNone
 	if server.fault != nil {
@@ -242,7 +264,7 @@
 func (server *Server) eventsSince(prefix string, after uint64) (events []Item, at uint64, changed chan struct{}, compacted bool) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if after < server.compactedRevision {
+	if after < server.compactedRevision || after > server.revision {
 		return nil, 0, nil, true
 	}
 	events = []Item{}
--- a/standin/storeserver/write.go
+++ b/standin/storeserver/write.go
@@ -69,13 +69,26 @@
 	server.nextID++
 	id := server.nextID
 	ttl := time.Duration(grant.TTLMs) * time.Millisecond
-	server.leases[id] = &lease{
-		ttl:   ttl,
-		timer: time.AfterFunc(ttl, func() { server.ExpireLease(id) }),
-	}
+	server.leases[id] = server.newLease(id, ttl)
 	writeJSON(writer, map[string]uint64{"Lease": id, "TtlMs": uint64(grant.TTLMs)})
 }
 
+// newLease returns a lease that ends after its time to live unless it has been replaced by then.
+func (server *Server) newLease(id uint64, ttl time.Duration) *lease {
+	granted := &lease{
+		ttl: ttl,
+	}
+	granted.timer = time.AfterFunc(ttl, func() {
+		server.mutex.Lock()
+		current := server.leases[id] == granted
+		server.mutex.Unlock()
+		if current {
+			server.ExpireLease(id)
+		}
+	})
+	return granted
+}
+
 // ExpireLease ends a lease and removes its keys, as the end of its time to live does, and returns whether the lease existed.
 func (server *Server) ExpireLease(id uint64) bool {
 	server.mutex.Lock()
