--- a/forwarder/crash_suspects.go
+++ b/forwarder/crash_suspects.go
@@ -198,8 +198,8 @@
 			parts[key] = quarantine
 		}
 	}
-	forwarder.parts.MergeStored(parts, view.At)
-	forwarder.requests.MergeStored(requests, view.At)
+	forwarder.parts.MergeStored(parts, view.Position())
+	forwarder.requests.MergeStored(requests, view.Position())
 }
 
 // UnsavedQuarantines returns the quarantines that this entry should store; entries is the number of entries that may do so.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -72,12 +72,12 @@
 	return forwarder
 }
 
-// Configure applies a view: its configuration if that is newer than the current one, its registered backend servers and its quarantines.
+// Configure applies a view: its configuration if that supersedes the current one, its registered backend servers and its quarantines.
 func (forwarder *Forwarder) Configure(view cranberryward.View) {
-	if current := forwarder.table.Load(); view.Deployment != nil && (current == nil || current.deployment.Revision < view.Deployment.Revision) {
+	if current := forwarder.table.Load(); view.Deployment != nil && (current == nil || view.Deployment.Supersedes(current.deployment)) {
 		forwarder.table.Store(newTable(view.Deployment))
 	}
-	forwarder.servers.update(view.Servers)
+	forwarder.servers.update(view)
 	forwarder.mergeStored(view)
 }
 
--- a/forwarder/request_limit_test.go
+++ b/forwarder/request_limit_test.go
@@ -20,7 +20,7 @@
 			Slots:   4,
 		}
 	}
-	servers.update(registered)
+	servers.update(cranberryward.View{Servers: registered})
 	return servers
 }
 
@@ -174,7 +174,7 @@
 				Service: service,
 			}
 		}
-		servers.update(many)
+		servers.update(cranberryward.View{Servers: many})
 		for _, state := range servers.states {
 			servers.recordRequestLimit(state, 1, time.Now())
 		}
--- a/forwarder/servers.go
+++ b/forwarder/servers.go
@@ -39,12 +39,14 @@
 type serverState struct {
 	server       cranberryward.BackendServer
 	missingSince time.Time
-	inFlight     int
-	failures     int
-	pausedUntil  time.Time
-	failureRate  float64
-	load         cranberryward.ServerLoad
-	loadAt       time.Time
+	// staleUntil is until when the registration may be one that only an older copy of the store has brought back.
+	staleUntil  time.Time
+	inFlight    int
+	failures    int
+	pausedUntil time.Time
+	failureRate float64
+	load        cranberryward.ServerLoad
+	loadAt      time.Time
 	// peerInFlight counts the requests of other entries, and controllerLoadAt is when a controller last reported the load that it is computed from.
 	peerInFlight     int
 	controllerLoadAt time.Time
@@ -65,33 +67,41 @@
 	// durations holds the moving average of the durations of each service's requests.
 	durations map[string]time.Duration
 	states    map[string]*serverState
+	departed  departed
 	// controllerReportAt is when the controller of each group last reported loads.
 	controllerReportAt map[groupKey]time.Time
 	byService          map[string][]*serverState
 }
 
-// update replaces the registered backend servers; one that is missing is kept for missingGrace and until its requests have ended.
-func (servers *servers) update(registered map[string]cranberryward.BackendServer) {
+// update replaces the registered backend servers by those of a view; one that is missing is kept for missingGrace and until its requests have ended.
+func (servers *servers) update(view cranberryward.View) {
 	servers.mutex.Lock()
 	defer servers.mutex.Unlock()
 	now := time.Now()
 	if servers.states == nil {
 		servers.states = map[string]*serverState{}
 	}
-	for id, server := range registered {
+	servers.departed.beginView(view, now)
+	for id, server := range view.Servers {
 		state := servers.states[id]
 		if state == nil || state.server.Address != server.Address {
 			state = &serverState{}
 			servers.states[id] = state
 		}
-		state.server, state.missingSince = server, time.Time{}
+		state.server, state.missingSince, state.staleUntil = server, time.Time{}, time.Time{}
+		if server.Leaving {
+			servers.departed.record(server, now)
+		} else {
+			state.staleUntil = servers.departed.staleUntil(server)
+		}
 	}
 	for id, state := range servers.states {
-		if _, ok := registered[id]; ok {
+		if _, ok := view.Servers[id]; ok {
 			continue
 		}
 		if state.missingSince.IsZero() {
 			state.missingSince = now
+			servers.departed.record(state.server, now)
 		}
 		if now.Sub(state.missingSince) > missingGrace && state.inFlight == 0 {
 			delete(servers.states, id)
@@ -229,7 +239,7 @@
 func (serverState *serverState) tier(now time.Time, tried map[string]bool) int {
 	tier := 0
 	switch {
-	case serverState.server.Leaving:
+	case serverState.server.Leaving, now.Before(serverState.staleUntil):
 		return -1
 	case !serverState.missingSince.IsZero():
 		if now.Sub(serverState.missingSince) > missingGrace {
--- a/gateway/agent/agent.go
+++ b/gateway/agent/agent.go
@@ -265,7 +265,7 @@
 }
 
 // revokeLease ends a lease with its keys, so that the next controller need not wait until it expires.
-func (agent *Agent) revokeLease(lease uint64) {
+func (agent *Agent) revokeLease(lease platform.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	if err := agent.store.RevokeLease(ctx, lease); err != nil {
@@ -273,36 +273,36 @@
 	}
 }
 
-func (agent *Agent) acquireLease(ctx context.Context) (lease, term uint64, err error) {
+func (agent *Agent) acquireLease(ctx context.Context) (lease platform.Lease, term uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	key := agent.groupKey()
 	held, err := agent.store.Get(ctx, key)
 	if err != nil {
-		return 0, 0, eris.Wrap(err, "look for the group's key")
+		return lease, 0, eris.Wrap(err, "look for the group's key")
 	}
 	if held.Revision != 0 {
-		return 0, 0, eris.Errorf("%s holds the group's key", held.Value)
+		return lease, 0, eris.Errorf("%s holds the group's key", held.Value)
 	}
 	ttl := max(leaseTTL, time.Duration(agent.settings.StoreMinimumLeaseMS)*time.Millisecond)
 	lease, err = agent.store.GrantLease(ctx, ttl)
 	if err != nil {
-		return 0, 0, eris.Wrap(err, "grant a lease")
+		return lease, 0, eris.Wrap(err, "grant a lease")
 	}
 	value := fmt.Appendf(nil, "%s", agent.settings.PeerAddress())
-	term, err = agent.store.Create(ctx, key, value, lease)
+	position, err := agent.store.Create(ctx, key, value, lease)
 	if eris.Is(err, platform.ErrConflict) {
 		agent.revokeLease(lease)
 	}
 	if err != nil {
 		// After a lost response the key may exist; it goes with the lease, which is not renewed.
-		return 0, 0, eris.Wrap(err, "create the group's key")
+		return lease, 0, eris.Wrap(err, "create the group's key")
 	}
-	return lease, term, nil
+	return lease, rebalancer.Term(position), nil
 }
 
 // renewLease keeps the lease alive; a controller that cannot reach the store continues until the ranks' agents follow a later term.
-func (agent *Agent) renewLease(ctx context.Context, end context.CancelFunc, lease uint64) {
+func (agent *Agent) renewLease(ctx context.Context, end context.CancelFunc, lease platform.Lease) {
 	for sleep(ctx, renewInterval) == nil {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := agent.store.RenewLease(call, lease)
--- a/gateway/entry/quarantine.go
+++ b/gateway/entry/quarantine.go
@@ -67,10 +67,5 @@
 func (entry *Entry) saveQuarantine(ctx context.Context, quarantine cranberryward.Quarantine) (cranberryward.Quarantine, error) {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	revision, err := entry.store.SaveQuarantine(ctx, quarantine, quarantiner.StorageTime(quarantine))
-	if err != nil {
-		return quarantine, err
-	}
-	quarantine.Revision = revision
-	return quarantine, nil
+	return entry.store.SaveQuarantine(ctx, quarantine, quarantiner.StorageTime(quarantine))
 }
--- a/gateway/entry/quarantine_store_test.go
+++ b/gateway/entry/quarantine_store_test.go
@@ -36,7 +36,7 @@
 		Until: time.Now().Add(time.Minute),
 	}
 	const ttl = 300 * time.Millisecond
-	revision, err := store.SaveQuarantine(ctx, quarantine, ttl)
+	saved, err := store.SaveQuarantine(ctx, quarantine, ttl)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,8 +57,8 @@
 			t.Fatalf("the %s view has quarantines %+v, expected one", name, view.Quarantines)
 		}
 		for _, found := range view.Quarantines {
-			if found.PromptPart != quarantine.PromptPart || found.Level != 1 || found.Revision != revision || !found.Until.Equal(quarantine.Until) {
-				t.Errorf("the %s view has %+v, expected %+v at revision %d", name, found, quarantine, revision)
+			if found.PromptPart != quarantine.PromptPart || found.Level != 1 || found.Position() != saved.Position() || !found.Until.Equal(quarantine.Until) {
+				t.Errorf("the %s view has %+v, expected %+v at revision %d", name, found, quarantine, saved.Revision)
 			}
 		}
 	}
--- a/message_deployment.go
+++ b/message_deployment.go
@@ -101,14 +101,33 @@
 
 // Deployment is one version of the operators' configuration of routes, services and workspaces.
 type Deployment struct {
-	Version    uint64
-	Revision   uint64
+	Version  uint64
+	Revision uint64
+	// Era is the era of the store in which the revision was given out.
+	Era        uint64
 	Routes     []Route
 	Services   []BackendService
 	Workspaces []Workspace
 	Limits     RequestLimits
 }
 
+// Supersedes returns whether the configuration takes the place of another one, nil for none: in one era of the store by revision, between eras by version.
+func (deployment *Deployment) Supersedes(other *Deployment) bool {
+	// A store that returns from an older copy holds an earlier version until operators write the later one again, which stays in force meanwhile.
+	switch {
+	case deployment == nil:
+		return false
+	case other == nil:
+		return true
+	case deployment.Era == other.Era:
+		return deployment.Revision > other.Revision
+	case deployment.Version == other.Version:
+		return deployment.Era > other.Era
+	default:
+		return deployment.Version > other.Version
+	}
+}
+
 // Service returns the service with the given name.
 func (deployment *Deployment) Service(name string) (BackendService, bool) {
 	for _, service := range deployment.Services {
@@ -133,13 +152,35 @@
 
 // View is a snapshot of the operators' configuration and the registered backend servers at a revision of the store.
 type View struct {
-	At         uint64
+	At uint64
+	// Era is the era of the store in which it held this.
+	Era        uint64
 	Deployment *Deployment
 	Servers    map[string]BackendServer
 	// Quarantines holds the quarantined prompt parts, by the key under which they are stored.
 	Quarantines map[string]Quarantine
 }
 
+// Position returns the point in the store's history to which the view belongs.
+func (view View) Position() Position {
+	return Position{
+		Era:      view.Era,
+		Revision: view.At,
+	}
+}
+
+// Position is a point in the history of the platform's store, which begins a new era when it returns from an older copy and then gives out again the revisions
+// since that copy.
+type Position struct{ Era, Revision uint64 }
+
+// Before returns whether the position is earlier than another one.
+func (position Position) Before(other Position) bool {
+	if position.Era != other.Era {
+		return position.Era < other.Era
+	}
+	return position.Revision < other.Revision
+}
+
 // ViewSource reads views from the store.
 type ViewSource interface {
 	// ReadView returns a view of everything that the store holds now.
--- a/message_quarantine.go
+++ b/message_quarantine.go
@@ -58,6 +58,16 @@
 	// Server is the backend server that a suspect crashed.
 	Server   string `json:"server,omitempty"`
 	Revision uint64 `json:"-"`
+	// Era is the era of the store in which the revision was given out.
+	Era uint64 `json:"-"`
+}
+
+// Position returns the point in the store's history at which the quarantine was written, the zero value if it was not.
+func (quarantine Quarantine) Position() Position {
+	return Position{
+		Era:      quarantine.Era,
+		Revision: quarantine.Revision,
+	}
 }
 
 // Suspicion returns whether the part is suspect without being quarantined.
@@ -67,7 +77,7 @@
 
 // QuarantineStore keeps quarantines beyond the life of a process.
 type QuarantineStore interface {
-	// SaveQuarantine writes a quarantine for the time to live if the stored one still has its revision, zero for none, and returns the new revision.
+	// SaveQuarantine writes a quarantine for the time to live if the stored one still has its revision, zero for none, and returns it with its new position.
 	// It returns ErrQuarantineChanged if the stored one has another revision.
-	SaveQuarantine(ctx context.Context, quarantine Quarantine, ttl time.Duration) (revision uint64, err error)
+	SaveQuarantine(ctx context.Context, quarantine Quarantine, ttl time.Duration) (Quarantine, error)
 }
--- a/quarantiner/part_exchange.go
+++ b/quarantiner/part_exchange.go
@@ -152,8 +152,8 @@
 	return !own.IsZero() && (reported.IsZero() || own.After(reported) && own.After(partSuspect.crashedAt) && !reported.After(partSuspect.crashedAt))
 }
 
-// MergeStored merges the quarantines that the store held at a revision.
-func (partTracker *PartTracker) MergeStored(quarantines map[string]cranberryward.Quarantine, at uint64) {
+// MergeStored merges the quarantines that the store held at a position; what this process knows goes on if they are those of an older copy, and is stored again.
+func (partTracker *PartTracker) MergeStored(quarantines map[string]cranberryward.Quarantine, at cranberryward.Position) {
 	partTracker.mutex.Lock()
 	defer partTracker.mutex.Unlock()
 	now := time.Now()
@@ -161,7 +161,7 @@
 	for _, quarantine := range quarantines {
 		held[quarantine.PromptPart] = true
 		suspect := partTracker.find(quarantine.PromptPart, now)
-		if suspect == nil && storedExpired(quarantine) || suspect != nil && quarantine.Revision <= suspect.stored.Revision {
+		if suspect == nil && storedExpired(quarantine) || suspect != nil && !suspect.stored.Position().Before(quarantine.Position()) {
 			continue
 		}
 		if suspect == nil {
@@ -170,7 +170,7 @@
 		suspect.merge(quarantine, now)
 	}
 	for part, suspect := range partTracker.suspects {
-		if !held[part] && suspect.stored.Revision <= at {
+		if !held[part] && !at.Before(suspect.stored.Position()) {
 			suspect.stored = cranberryward.Quarantine{} // its time to live has passed, which does not end a quarantine here
 		}
 	}
@@ -186,7 +186,11 @@
 
 // merge applies a stored quarantine, whose times are those of the writer's clock.
 func (partSuspect *partSuspect) merge(quarantine cranberryward.Quarantine, now time.Time) {
+	restored := partSuspect.stored.Revision != 0 && quarantine.Era != partSuspect.stored.Era
 	partSuspect.stored = quarantine
+	if restored && partSuspect.knowsMoreThan(quarantine) {
+		return
+	}
 	if quarantine.Suspicion() {
 		partSuspect.mergeSuspicion(quarantine, now)
 		return
@@ -205,6 +209,15 @@
 	}
 }
 
+// knowsMoreThan returns whether a quarantine from an older copy of the store is an earlier state of the part than the one known here: the part was answered since,
+// or was suspect or quarantined when the copy has it as sound or less so.
+func (partSuspect *partSuspect) knowsMoreThan(quarantine cranberryward.Quarantine) bool {
+	if partSuspect.level == 0 {
+		return partSuspect.servedAt.After(quarantine.CrashedAt)
+	}
+	return quarantine.Level <= partSuspect.level
+}
+
 // mergeSuspicion adds the crash of a stored suspicion, unless one at the same backend server is known: by the clock of another process, it would count as two.
 func (partSuspect *partSuspect) mergeSuspicion(quarantine cranberryward.Quarantine, now time.Time) {
 	known := func(crash partCrash) bool { return crash.server == quarantine.Server }
@@ -240,7 +253,7 @@
 func (partSuspect *partSuspect) unsavedSince() (since time.Time, changed bool) {
 	switch {
 	case partSuspect.level > 0:
-		return partSuspect.quarantinedAt, partSuspect.stored.Level == 0
+		return partSuspect.quarantinedAt, partSuspect.stored.Level < partSuspect.level
 	case partSuspect.stored.Level > 0:
 		return partSuspect.servedAt, true
 	default:
--- a/quarantiner/part_tracker_test.go
+++ b/quarantiner/part_tracker_test.go
@@ -167,16 +167,16 @@
 			t.Errorf("a stored quarantine is to be stored again: %+v", again)
 		}
 		var storeOnly PartTracker
-		storeOnly.MergeStored(map[string]cranberryward.Quarantine{"key": unsaved[0]}, 7)
+		storeOnly.MergeStored(map[string]cranberryward.Quarantine{"key": unsaved[0]}, cranberryward.Position{Revision: 7})
 		if !quarantined(&storeOnly, "bad") {
 			t.Error("a process that started later did not take the quarantine from the store")
 		}
-		storeOnly.MergeStored(nil, 8)
+		storeOnly.MergeStored(nil, cranberryward.Position{Revision: 8})
 		if !quarantined(&storeOnly, "bad") {
 			t.Error("the quarantine ended because the store lost the key")
 		}
 		unsaved[0].Level, unsaved[0].Revision = 0, 9
-		storeOnly.MergeStored(map[string]cranberryward.Quarantine{"key": unsaved[0]}, 9)
+		storeOnly.MergeStored(map[string]cranberryward.Quarantine{"key": unsaved[0]}, cranberryward.Position{Revision: 9})
 		if quarantined(&storeOnly, "bad") {
 			t.Error("the quarantine goes on although the part was found to be sound")
 		}
@@ -222,7 +222,7 @@
 				}
 				next.Revision = 9
 				local.MarkSaved(next)
-				peer.MergeStored(map[string]cranberryward.Quarantine{"key": next}, 9)
+				peer.MergeStored(map[string]cranberryward.Quarantine{"key": next}, cranberryward.Position{Revision: 9})
 				if verdict := peer.Check(engine, []string{"bad"}); !verdict.Blocked() || verdict.ProbeDue() {
 					t.Fatalf("the peer may probe as well: %+v", verdict)
 				}
@@ -309,3 +309,55 @@
 		}
 	})
 }
+
+// TestQuarantinesAfterTheStoreReturned guards against losing or reviving quarantines when the store returns from an older copy, in which their keys are missing or of
+// an earlier state and revisions are lower.
+func TestQuarantinesAfterTheStoreReturned(t *testing.T) {
+	stored := func(era, revision uint64, level int, crashedAt time.Time) map[string]cranberryward.Quarantine {
+		return map[string]cranberryward.Quarantine{"key": {
+			PromptPart: cranberryward.PromptPart{
+				Service: engine,
+				ID:      "bad",
+			},
+			Level:     level,
+			Until:     time.Now().Add(firstQuarantine),
+			CrashedAt: crashedAt,
+			Era:       era,
+			Revision:  revision,
+		}}
+	}
+	copied := cranberryward.Position{
+		Era:      2,
+		Revision: 20,
+	}
+	synctest.Test(t, func(t *testing.T) {
+		partTracker := newPartTracker()
+		crashedAt := time.Now()
+		partTracker.MergeStored(stored(1, 30, 1, crashedAt), cranberryward.Position{
+			Era:      1,
+			Revision: 30,
+		})
+		partTracker.MergeStored(nil, copied)
+		time.Sleep(time.Minute / 2)
+		if !quarantined(partTracker, "bad") || len(partTracker.Unsaved(1)) != 1 {
+			t.Error("a quarantine that the copy does not have is not stored again")
+		}
+		partTracker.MarkSaved(stored(2, 24, 1, crashedAt)["key"])
+		time.Sleep(time.Second)
+		partTracker.RecordServed(engine, []string{"bad"})
+		partTracker.MergeStored(stored(3, 22, 1, crashedAt), cranberryward.Position{
+			Era:      3,
+			Revision: 22,
+		})
+		if quarantined(partTracker, "bad") {
+			t.Error("a part that was answered since is quarantined again because of an older copy")
+		}
+		partTracker.MergeStored(stored(3, 25, 1, time.Now()), cranberryward.Position{
+			Era:      3,
+			Revision: 25,
+		})
+		if !quarantined(partTracker, "bad") {
+			t.Error("a quarantine of the later era is ignored because its revision is lower")
+		}
+	})
+}
--- a/quarantiner/request_tracker_test.go
+++ b/quarantiner/request_tracker_test.go
@@ -201,7 +201,7 @@
 				stored := unsaved[0]
 				stored.Revision = 7
 				stored.CrashedAt = stored.CrashedAt.Add(clockError)
-				before.MergeStored(map[string]cranberryward.Quarantine{"key": stored}, 7)
+				before.MergeStored(map[string]cranberryward.Quarantine{"key": stored}, cranberryward.Position{Revision: 7})
 				if again := before.Unsaved(3); len(again) != 0 {
 					t.Errorf("stored again: %+v", again)
 				}
@@ -209,7 +209,7 @@
 					t.Errorf("state %d of a request with one crash, which the store repeats", state)
 				}
 				time.Sleep(10 * time.Second)
-				after.MergeStored(map[string]cranberryward.Quarantine{"key": stored}, 7)
+				after.MergeStored(map[string]cranberryward.Quarantine{"key": stored}, cranberryward.Position{Revision: 7})
 				breakSend(&after, "a", "s1", true)
 				if state := stateOf(&after, "a"); state != blocked {
 					t.Errorf("state %d after a second crash, expected %d", state, blocked)
--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -49,6 +49,7 @@
 	version := rebalancer.nextVersion()
 	begun := time.Now()
 	if err := rebalancer.prepare(ctx, version, next, time.Duration(copies)*engine.CopyTime()); err != nil {
+		rebalancer.skipVersions()
 		return eris.Wrapf(err, "prepare map %d", version)
 	}
 	prepared := time.Now()
--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -69,11 +69,13 @@
 	placement      [][][]int
 	version        uint64
 	issuedVersions uint64
-	leadPasses     uint64
-	passTime       time.Duration
-	lastStep       uint64
-	lastStepAt     time.Time
-	changes        int
+	// firstVersion is the version below those that this controller issues, zero before the first.
+	firstVersion uint64
+	leadPasses   uint64
+	passTime     time.Duration
+	lastStep     uint64
+	lastStepAt   time.Time
+	changes      int
 }
 
 // rank is one rank of a complete group with its last observation.
@@ -85,6 +87,14 @@
 // versionsPerTerm is the size of the range of map versions that each term has for itself, above the ranges of all earlier terms.
 const versionsPerTerm = 1 << 16
 
+// revisionsPerEra is the number of terms in each era of the store, far more than revisions that it gives out in years.
+const revisionsPerEra = 1 << 40
+
+// Term returns the term of a controller whose key was created at a position: terms of a later era are higher, although revisions are given out again.
+func Term(position cranberryward.Position) uint64 {
+	return position.Era*revisionsPerEra + position.Revision
+}
+
 // New returns a rebalancer for a term, whose number must be higher than those of all earlier terms.
 func New(group Group, term uint64, logger log.Logger) *Rebalancer {
 	return &Rebalancer{
@@ -270,8 +280,31 @@
 
 // nextVersion returns a map version higher than any that the ranks have had.
 func (rebalancer *Rebalancer) nextVersion() uint64 {
+	if rebalancer.firstVersion == 0 {
+		rebalancer.firstVersion = rebalancer.versionRange()
+	}
 	rebalancer.issuedVersions++
-	return rebalancer.term*versionsPerTerm + rebalancer.issuedVersions
+	return rebalancer.firstVersion + rebalancer.issuedVersions
+}
+
+// versionSkip is how many versions are skipped after a prepare order that failed, more than were issued since a copy of the store that is minutes old.
+const versionSkip = 1 << 36
+
+// skipVersions goes on to higher versions: a rank refuses one that is not higher than all that it has had, also those that it no longer shows since its group
+// formed again.
+func (rebalancer *Rebalancer) skipVersions() { rebalancer.firstVersion += versionSkip }
+
+// versionRange returns the range of versions of this term: that of its revision, or one above those that the ranks hold, as in an era of the store in which
+// revisions are given out again. Another controller may have issued versions of the highest range that no rank shows yet.
+func (rebalancer *Rebalancer) versionRange() uint64 {
+	first := rebalancer.term % revisionsPerEra * versionsPerTerm
+	for _, rank := range rebalancer.ranks {
+		report := rank.observation.Report
+		if highest := max(report.Map, report.Prepared, report.Armed); highest > first {
+			first = (highest/versionsPerTerm + 1) * versionsPerTerm
+		}
+	}
+	return first
 }
 
 // Changes returns how many maps this rebalancer has put in force.
--- a/relayer/message_notice.go
+++ b/relayer/message_notice.go
@@ -15,14 +15,18 @@
 
 // Notice is the message in which a process tells its peers the state of its snapshot and its load.
 type Notice struct {
-	From     string   `json:"from"`
-	Instance string   `json:"instance"`
-	Entry    bool     `json:"entry,omitempty"`
-	Zone     string   `json:"zone"`
-	At       uint64   `json:"at"`
-	AgeMS    int64    `json:"age_ms"`
-	Content  uint64   `json:"content"`
-	Peers    []string `json:"peers,omitempty"`
+	From     string `json:"from"`
+	Instance string `json:"instance"`
+	Entry    bool   `json:"entry,omitempty"`
+	Zone     string `json:"zone"`
+	At       uint64 `json:"at"`
+	// Era is the era of the store to which At belongs.
+	Era uint64 `json:"era,omitempty"`
+	// Version is the version of the sender's configuration.
+	Version uint64   `json:"version,omitempty"`
+	AgeMS   int64    `json:"age_ms"`
+	Content uint64   `json:"content"`
+	Peers   []string `json:"peers,omitempty"`
 	// Entries is the number of live entries in the sender's availability zone.
 	Entries int `json:"entries,omitempty"`
 	// AgeOnly means that the notice is about the snapshot only, and that its recipients keep the rest of the sender's previous notice.
@@ -43,6 +47,14 @@
 	Busy *ServiceLoad `json:"busy,omitempty"`
 }
 
+// position returns the position of the sender's snapshot.
+func (notice Notice) position() cranberryward.Position {
+	return cranberryward.Position{
+		Era:      notice.Era,
+		Revision: notice.At,
+	}
+}
+
 // ServiceLoad counts the requests at each backend server of a service, ordered by ID in the snapshot with the notice's content.
 type ServiceLoad struct {
 	Service string `json:"service"`
@@ -56,8 +68,9 @@
 
 // FetchRequest asks a peer for its snapshot.
 type FetchRequest struct {
-	// Deployment is the revision of the requester's configuration, or zero if it has none.
-	Deployment uint64
+	// Deployment is the revision of the requester's configuration, or zero if it has none, and DeploymentEra the era in which it was given out.
+	Deployment    uint64
+	DeploymentEra uint64
 	// Content is the digest of the requester's snapshot, or zero if it has none.
 	Content uint64
 }
--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -124,7 +124,7 @@
 			relayer.peers[address] = &peer{}
 		}
 	}
-	newer := relayer.snapshot == nil || notice.At > relayer.snapshot.At
+	newer := relayer.snapshot == nil || relayer.snapshot.Position().Before(notice.position())
 	same := relayer.snapshot != nil && notice.Content == relayer.snapshot.Content
 	readAt := now.Add(-time.Duration(notice.AgeMS) * time.Millisecond)
 	if same && !newer && notice.At == relayer.snapshot.At && readAt.After(relayer.readAt) {
@@ -138,9 +138,10 @@
 			relayer.readAt = readAt
 		}
 	}
-	fetch := newer && !same && (notice.At > relayer.fetchingRevision || now.Sub(relayer.fetchingSince) > fetchRetryDelay)
+	wanted := newer && !same || relayer.snapshot != nil && notice.Version > relayer.snapshot.version()
+	fetch := wanted && (relayer.fetching.Before(notice.position()) || now.Sub(relayer.fetchingSince) > fetchRetryDelay)
 	if fetch {
-		relayer.fetchingRevision, relayer.fetchingSince = notice.At, now
+		relayer.fetching, relayer.fetchingSince = notice.position(), now
 	}
 	relayer.mutex.Unlock()
 	if fetch {
@@ -180,7 +181,7 @@
 		request.Content = current.Content
 	}
 	if current != nil && current.Deployment != nil {
-		request.Deployment = current.Deployment.Revision
+		request.Deployment, request.DeploymentEra = current.Deployment.Revision, current.Deployment.Era
 	}
 	var reply FetchReply
 	if err := relayer.client.Call(ctx, address, "Belief.Fetch", request, &reply); err != nil {
@@ -292,7 +293,8 @@
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	notice.Peers = live[:min(len(live), maxPeersPerNotice)]
 	if relayer.snapshot != nil {
-		notice.At, notice.Content = relayer.snapshot.At, relayer.snapshot.Content
+		notice.At, notice.Era, notice.Content = relayer.snapshot.At, relayer.snapshot.Era, relayer.snapshot.Content
+		notice.Version = relayer.snapshot.version()
 		notice.AgeMS = now.Sub(relayer.readAt).Milliseconds()
 	}
 	return notice, slices.Clone(live), unheard
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -37,10 +37,15 @@
 	retrySpacing = 25 * time.Millisecond
 	// maxSharedRetryPause bounds the resulting pause, because peers that count as live may be gone.
 	maxSharedRetryPause = 4 * time.Second
+	// minReadInterval bounds the rate of reads whatever the store answers.
+	minReadInterval = 50 * time.Millisecond
 )
 
 var errNoSnapshot = eris.New("no snapshot yet")
 
+// errOutdatedRead means that the store has answered with what it held before the current snapshot.
+var errOutdatedRead = eris.New("the store's answer is older than the current snapshot")
+
 // Relayer keeps a snapshot up to date.
 type Relayer struct {
 	options Options
@@ -53,10 +58,10 @@
 	changes  changes
 	readAt   time.Time
 	peers    map[string]*peer
-	// fetchingRevision is the revision that is being fetched from a peer, and fetchingSince is when that fetch began.
-	fetchingRevision uint64
-	fetchingSince    time.Time
-	group            *cranberryward.GroupState
+	// fetching is the position that is being fetched from a peer, and fetchingSince is when that fetch began.
+	fetching      cranberryward.Position
+	fetchingSince time.Time
+	group         *cranberryward.GroupState
 
 	// life identifies this run of the process, sequence numbers the notices that it spreads, and received holds those of others.
 	life     uint64
@@ -118,7 +123,7 @@
 	snapshot := *relayer.snapshot
 	reply.Belief, reply.Age = &snapshot, time.Since(relayer.readAt)
 	// The configuration and the registrations grow with the deployment, so what the peer has is omitted.
-	if deployment := snapshot.Deployment; deployment != nil && deployment.Revision == request.Deployment {
+	if deployment := snapshot.Deployment; deployment != nil && deployment.Revision == request.Deployment && deployment.Era == request.DeploymentEra {
 		snapshot.Deployment, reply.SameDeployment = nil, true
 	}
 	if request.Content != 0 {
@@ -150,7 +155,7 @@
 		err := relayer.read(ctx, timeout)
 		if err == nil {
 			retry, timeout = minRetryPause, readTimeout
-			pause = relayer.timeUntilRefresh()
+			pause = max(relayer.timeUntilRefresh(), minReadInterval)
 			continue
 		}
 		if errors.Is(err, context.DeadlineExceeded) {
@@ -204,22 +209,29 @@
 		_ = level.Warn(relayer.options.Logger).Log("event", "store_read_failed", "error", err)
 		return err
 	}
-	if !relayer.adopt(newSnapshot(next), begun, "store") {
+	read := newSnapshot(next)
+	if !relayer.adopt(read, begun, "store") {
 		relayer.announceAge()
 	}
+	if current, _ := relayer.Snapshot(); read.Position().Before(current.Position()) {
+		return errOutdatedRead // a read that does not count must not be repeated without a pause
+	}
 	return nil
 }
 
-// adopt replaces the current snapshot by one that is not older; if the content differs, it also announces the change and returns true.
+// adopt replaces the current snapshot by one that is not older, or takes a configuration from one that supersedes the current one; if the content differs, it
+// also announces the change and returns true.
 func (relayer *Relayer) adopt(next *Snapshot, readAt time.Time, from string) bool {
 	relayer.mutex.Lock()
 	before := relayer.snapshot
-	if before != nil && next.At < before.At {
+	outdated := before != nil && next.Position().Before(before.Position())
+	if outdated && !next.Deployment.Supersedes(before.Deployment) {
 		relayer.mutex.Unlock()
 		return false
 	}
+	next = combine(before, next)
 	relayer.snapshot = next
-	if readAt.After(relayer.readAt) {
+	if !outdated && readAt.After(relayer.readAt) {
 		relayer.readAt = readAt
 	}
 	changed := before == nil || before.Content != next.Content
@@ -233,11 +245,7 @@
 	if !changed {
 		return false
 	}
-	version := uint64(0)
-	if next.Deployment != nil {
-		version = next.Deployment.Version
-	}
-	_ = level.Info(relayer.options.Logger).Log("event", "belief_changed", "from", from, "at", next.At, "configuration", version, "servers", len(next.Servers), "age_ms", time.Since(readAt).Milliseconds())
+	_ = level.Info(relayer.options.Logger).Log("event", "belief_changed", "from", from, "era", next.Era, "at", next.At, "configuration", next.version(), "servers", len(next.Servers), "age_ms", time.Since(readAt).Milliseconds())
 	relayer.announceChange()
 	return true
 }
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -29,7 +29,13 @@
 		_, _ = hash.WriteString(text) // never fails, as its documentation states
 		_, _ = hash.Write([]byte{0})
 	}
+	if view.Era != 0 { // without eras, processes of earlier builds compute the same digest
+		_, _ = hash.Write(littleEndian(view.Era))
+	}
 	if view.Deployment != nil {
+		if view.Deployment.Era != view.Era {
+			_, _ = hash.Write(littleEndian(view.Deployment.Era))
+		}
 		_, _ = hash.Write(littleEndian(view.Deployment.Revision))
 	}
 	for _, id := range ids {
@@ -72,3 +78,29 @@
 	sort.Strings(ids)
 	return ids
 }
+
+// version returns the version of the configuration, or zero if there is none.
+func (snapshot *Snapshot) version() uint64 {
+	if snapshot.Deployment == nil {
+		return 0
+	}
+	return snapshot.Deployment.Version
+}
+
+// combine returns the snapshot to hold after the given one, nil for none, when another one arrives: the one of the later position, with the configuration that
+// supersedes the other.
+func combine(before, next *Snapshot) *Snapshot {
+	if before == nil {
+		return next
+	}
+	later, earlier := next, before
+	if next.Position().Before(before.Position()) {
+		later, earlier = before, next
+	}
+	if !earlier.Deployment.Supersedes(later.Deployment) {
+		return later
+	}
+	view := later.View
+	view.Deployment = earlier.Deployment
+	return newSnapshot(view)
+}
