forwarder: a request is never sent twice on one connection (REFUSED, TWICE)

A backend server that writes an earlier refusal once more on a kept connection answered the next send of the same attempt with it: the entry took the request for refused while the backend server ran it, and sent it to a second one. Possible for requests that may run more than once only, as all others have a connection of their own for each send; an extra answer to another request is recognized by its id and skipped.

A further send to the same backend server now takes a new connection.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -28,6 +28,8 @@
 	sentAt time.Time
 	// arrivals counts the sends that may have reached a backend server; each further one takes from the budget of retries.
 	arrivals int
+	// repeated is whether the current send is not the first to its backend server.
+	repeated bool
 	// alternatives is whether the backend server of the current send was not the only usable one.
 	alternatives bool
 	// mayHaveRun is set once a backend server may have run the request, which must then not be refused as not run.
@@ -54,11 +56,19 @@
 	return &permit{newConnection: !exchange.route.Retryable()}
 }
 
-// usePermit counts a send and returns whether it needs a new connection.
+// choose sets the backend server of the next send.
+func (exchange *exchange) choose(picked picked) {
+	id := picked.state.server.ID
+	exchange.repeated, exchange.alternatives = exchange.tried[id], picked.alternatives
+	exchange.tried[id] = true
+}
+
+// usePermit counts a send and returns whether it needs a new connection: on one that the request was sent on before, an answer to that send would pass for one to
+// this.
 func (exchange *exchange) usePermit(permit *permit) (newConnection bool) {
 	exchange.sends++
 	exchange.sentAt = time.Now()
-	return permit.newConnection
+	return permit.newConnection || exchange.repeated
 }
 
 // recordVerdict records whether a backend server may have run the request.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -91,7 +91,7 @@
 		forwarder.servers.done(state, outcomeAbandoned)
 		return nil, newDenial("attempt_limit")
 	}
-	exchange.tried[state.server.ID], exchange.alternatives = true, picked.alternatives
+	exchange.choose(picked)
 	return state, denial{}
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -171,7 +171,7 @@
 		if state == nil {
 			return nil, nil
 		}
-		exchange.tried[state.server.ID], exchange.alternatives = true, picked.alternatives
+		exchange.choose(picked)
 		response, err := forwarder.send(exchange, state, exchange.usePermit(permit), relay.lastID)
 		if err != nil {
 			forwarder.recordFailedSend(exchange, state, err)
