--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -28,6 +28,9 @@
 // errTruncatedEvent means that a stream ended within an event.
 var errTruncatedEvent = eris.New("stream ended within an event")
 
+// errForeignEvent means that a stream whose events have numeric IDs has something else between them, such as an error's head or text.
+var errForeignEvent = eris.New("stream with something else than an event")
+
 // errEventTooLong means that an event is longer than maxEventBytes.
 var errEventTooLong = eris.Errorf("stream with an event longer than %d bytes", maxEventBytes)
 
@@ -39,6 +42,8 @@
 	// lastID is the id of the last event that the caller got, as the backend servers count them, and lastSeq is the last numeric id, or -1.
 	lastID  string
 	lastSeq int64
+	// contentType is that of the response that began the stream, which one that resumes it has too.
+	contentType string
 	// server is the backend server that began the stream, and load is the load that it reported then.
 	server string
 	load   cranberryward.ServerLoad
@@ -103,6 +108,7 @@
 		flusher:       flusher,
 		lastID:        exchange.metadata.LastEventID,
 		lastSeq:       -1,
+		contentType:   response.HTTP().Header.Get("Content-Type"),
 		server:        state.server.ID,
 		load:          platform.ReadResponse(response.HTTP()).Load,
 		stallDetector: &forwarder.stallDetector,
@@ -179,7 +185,7 @@
 		}
 		metadata := platform.ReadResponse(response.HTTP())
 		forwarder.recordRequestLimit(state, metadata.RequestLimit, exchange.sentAt)
-		if response.HTTP().StatusCode == http.StatusOK && metadata.Signed && !metadata.Encoded {
+		if response.HTTP().StatusCode == http.StatusOK && metadata.Signed && !metadata.Encoded && response.HTTP().Header.Get("Content-Type") == relay.contentType {
 			exchange.recordVerdict(state.server.ID, cranberryward.Ran)
 			return state, response
 		}
@@ -219,13 +225,8 @@
 		if len(trimmed) > 0 {
 			continue
 		}
-		if relay.isNew(id) {
-			relay.writeHeader(response)
-			relay.recordEvent(time.Now())
-			if _, err := relay.writer.Write(event); err != nil {
-				return err
-			}
-			relay.recordID(id)
+		if err := relay.forward(response, event, id); err != nil {
+			return err
 		}
 		event, id = event[:0], ""
 		if reader.Buffered() == 0 {
@@ -234,6 +235,39 @@
 	}
 }
 
+// forward writes an event with the given ID, or a comment, to the caller, unless the caller has got it already.
+func (relay *relay) forward(response *connector.Response, event []byte, id string) error {
+	comment := isComment(event)
+	number, err := strconv.ParseInt(id, 10, 64)
+	switch {
+	case comment && !relay.headerSent:
+		return nil // the response begins with its first event
+	case comment:
+	case err != nil && relay.lastSeq >= 0:
+		return errForeignEvent
+	case err == nil && number <= relay.lastSeq:
+		return nil
+	default:
+		relay.writeHeader(response)
+		relay.recordEvent(time.Now())
+	}
+	if _, err := relay.writer.Write(event); err != nil {
+		return err
+	}
+	relay.recordID(id)
+	return nil
+}
+
+// isComment returns whether a block of lines holds nothing but comments.
+func isComment(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // flush sends buffered events to the caller.
 func (relay *relay) flush() {
 	if relay.headerSent && relay.flusher != nil {
@@ -250,12 +284,6 @@
 	return nil
 }
 
-// isNew returns whether an event is one that the caller has not received yet; an event without a numeric id counts as new.
-func (relay *relay) isNew(id string) bool {
-	number, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || number > relay.lastSeq
-}
-
 // recordID records the id of an event that the caller got, if it has one.
 func (relay *relay) recordID(id string) {
 	if id == "" {
--- a/gateway/entry/faulty_answer_test.go
+++ b/gateway/entry/faulty_answer_test.go
@@ -63,3 +63,60 @@
 		t.Errorf("%d runs of five requests", runs)
 	}
 }
+
+// unsignedStream sends a stream without a signature.
+func unsignedStream(exchange *scriptserver.Exchange) bool {
+	id := exchange.Request.Header.Get("X-Attempt-Id")
+	text := "id: 3\ndata: foreign\n\n"
+	fmt.Fprintf(exchange, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+	return true
+}
+
+// breaksOffWithHead sends events without a stated length and then, on the same connection, the head and text of an error.
+func breaksOffWithHead(exchange *scriptserver.Exchange) bool {
+	id := exchange.Request.Header.Get("X-Attempt-Id")
+	io.WriteString(exchange, scriptserver.ResponseHead(id, 200, "Content-Type: text/event-stream", "Connection: close")+events(0, 2))
+	io.WriteString(exchange, scriptserver.ResponseHead(id, 500, "Content-Type: text/plain", "Content-Length: 6")+"failed\n\n")
+	return false
+}
+
+// TestErrorAnswerIsNoPartOfAStream guards against an error's text or head in the middle of a stream, and against ending the stream as complete, when a stream has
+// begun and broke off and the next backend server answers its resumption with an error.
+func TestErrorAnswerIsNoPartOfAStream(t *testing.T) {
+	const text = "data: failed\n\n"
+	for name, test := range map[string]struct {
+		scripts []script
+	}{
+		"500":                            {[]script{streams(0, 2, false), responds(500, text)}},
+		"500 as a stream":                {[]script{streams(0, 2, false), responds(500, "id: 3\n"+text, "Content-Type: text/event-stream")}},
+		"404":                            {[]script{streams(0, 2, false), responds(404, text)}},
+		"503 that did not run":           {[]script{streams(0, 2, false), responds(503, text, "X-Not-Executed: 1")}},
+		"204":                            {[]script{streams(0, 2, false), responds(204, "")}},
+		"200 without a signature":        {[]script{streams(0, 2, false), unsignedStream}},
+		"200 with a text":                {[]script{streams(0, 2, false), responds(200, text, "Content-Type: text/plain")}},
+		"200 with JSON that looks whole": {[]script{streams(0, 2, false), responds(200, "{\"error\":\"failed\"}\n\n", "Content-Type: application/json")}},
+		"200 with an empty body":         {[]script{streams(0, 2, false), responds(200, "", "Content-Type: text/plain")}},
+		"a stream whose event has no ID": {[]script{streams(0, 2, false), responds(200, text, "Content-Type: text/event-stream")}},
+		"a head within the stream":       {[]script{breaksOffWithHead, responds(500, text)}},
+		"a body within the stream": {[]script{sendsRaw(func(id string) string {
+			return scriptserver.ResponseHead(id, 200, "Content-Type: text/event-stream", "Connection: close") + events(0, 2) + "failed\n\n"
+		}, false), responds(500, text)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixture(t, test.scripts...)
+			status, body := fixture.send(fixture.request(http.MethodPost, "/stream/", "question"))
+			if status != 0 || body != events(0, 2) {
+				t.Errorf("response %d %q, expected %q and a broken connection", status, body, events(0, 2))
+			}
+		})
+	}
+}
+
+// TestCommentsOfAStreamAreForwarded guards against taking a comment, which has no ID, for a foreign part of a stream.
+func TestCommentsOfAStreamAreForwarded(t *testing.T) {
+	const text = "id: 1\ndata: one\n\n: still here\n\n\nid: 2\ndata: two\n\n"
+	fixture := newFixture(t, responds(200, text, "Content-Type: text/event-stream"))
+	if status, body := fixture.send(fixture.request(http.MethodPost, "/stream/", "question")); status != 200 || body != text {
+		t.Errorf("response %d %q, expected %q", status, body, text)
+	}
+}
