configurer: accepted submissions outlive a return of the key-value service from an older copy

Operators saw, on the product's own interface: after the service had returned from an older copy, submissions that had been accepted were unknown to processes that started, and later ones were accepted under revisions that the others ignored, as they had other entries under them.

A process that finds it so, or finds other entries under the revisions that it knows, now writes its configuration to the log, followed by the entries that it does not know.

--- a/configurer/log.go
+++ b/configurer/log.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return Update{}, err
 	}
+	if record, err = log.repair(ctx, current, record); err != nil {
+		return Update{}, err
+	}
 	return log.catchUp(ctx, current, record)
 }
 
@@ -172,6 +175,9 @@
 	if err != nil {
 		return 0, notRunFailure(err)
 	}
+	if record, err = log.repair(ctx, *current, record); err != nil {
+		return 0, notRunFailure(err)
+	}
 	update, err := log.catchUp(ctx, *current, record)
 	if err != nil {
 		return 0, notRunFailure(err)
