--- a/caller/server.go
+++ b/caller/server.go
@@ -93,8 +93,11 @@
 	delete(server.connections, connection)
 }
 
-// Stop closes the listener and every connection.
+// Stop closes the listener and every connection; it does nothing for a server that could not be created.
 func (server *Server) Stop() {
+	if server == nil {
+		return
+	}
 	_ = server.listener.Close()
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/listener/server.go
+++ b/listener/server.go
@@ -46,8 +46,13 @@
 	go func() { _ = server.server.Serve(server.listener) }()
 }
 
-// Stop closes the listener, waits for requests in progress until the context ends, and then closes the remaining connections.
+// Stop closes the listener, waits for requests in progress until the context ends, and then closes the remaining connections; it does nothing for a server that could
+// not be created.
 func (server *Server) Stop(ctx context.Context) error {
+	if server == nil {
+		return nil
+	}
+	defer func() { _ = server.listener.Close() }() // open still if the server was not started
 	err := server.server.Shutdown(ctx)
 	if err != nil {
 		_ = server.server.Close()
@@ -55,5 +60,11 @@
 	return err
 }
 
-// Kill closes the listener and all connections immediately.
-func (server *Server) Kill() { _ = server.server.Close() }
+// Kill closes the listener and all connections immediately; it does nothing for a server that could not be created.
+func (server *Server) Kill() {
+	if server == nil {
+		return
+	}
+	_ = server.server.Close()
+	_ = server.listener.Close() // open still if the server was not started
+}
