--- a/forwarder/crash_suspects.go
+++ b/forwarder/crash_suspects.go
@@ -51,7 +51,7 @@
 func (forwarder *Forwarder) checkQuarantines(exchange *exchange) denial {
 	for _, verdict := range forwarder.quarantines(exchange) {
 		part := verdict.Part()
-		if exchange.probing[part] {
+		if exchange.probing[part] && !exchange.mayHaveRun {
 			continue
 		}
 		if !verdict.ProbeDue() || !forwarder.beginProbe(exchange, part) {
--- a/gateway/entry/crashing_part_test.go
+++ b/gateway/entry/crashing_part_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/cranberryward/cranberryward/quarantiner"
 	"github.com/cranberryward/cranberryward/standin/scriptserver"
 )
 
@@ -121,3 +122,28 @@
 		})
 	}
 }
+
+// TestProbeIsSentOnce guards against sending a request again that probes a quarantine, here of the request as a whole, and has crashed its backend server.
+func TestProbeIsSentOnce(t *testing.T) {
+	var fixture *fixture
+	server := func(index int) func() *scriptserver.Server {
+		return func() *scriptserver.Server { return fixture.servers[index] }
+	}
+	fixture = newFixture(t, crashesHost(server(0)), crashesHost(server(1)))
+	fixture.useQuarantineStore(func(_ context.Context, quarantine cranberryward.Quarantine) (cranberryward.Quarantine, error) {
+		quarantine.Revision = 9
+		return quarantine, nil
+	})
+	fixture.view.Quarantines = map[string]cranberryward.Quarantine{"key": {
+		PromptPart: cranberryward.WholeRequest("app", quarantiner.Fingerprint("quito", http.MethodPost, "front.example", "/look/", "question")),
+		Level:      1,
+		Until:      time.Now().Add(-time.Second),
+		CrashedAt:  time.Now().Add(-time.Minute),
+		Revision:   5,
+	}}
+	fixture.forwarder.Configure(fixture.view)
+	fixture.send(fixture.request(http.MethodPost, "/look/", "question"))
+	if runs := fixture.runs(); runs != 1 {
+		t.Errorf("the probe was sent %d times, expected once", runs)
+	}
+}
