--- a/quarantiner/part_tracker_test.go
+++ b/quarantiner/part_tracker_test.go
@@ -352,9 +352,10 @@
 		if quarantined(partTracker, "bad") {
 			t.Error("a part that was answered since is quarantined again because of an older copy")
 		}
-		partTracker.MergeStored(stored(3, 25, 1, time.Now()), cranberryward.Position{
-			Era:      3,
-			Revision: 25,
+		time.Sleep(time.Second)
+		partTracker.MergeStored(stored(4, 21, 1, time.Now()), cranberryward.Position{
+			Era:      4,
+			Revision: 21,
 		})
 		if !quarantined(partTracker, "bad") {
 			t.Error("a quarantine of the later era is ignored because its revision is lower")
