--- a/quarantiner/request_tracker_test.go
+++ b/quarantiner/request_tracker_test.go
@@ -245,6 +245,7 @@
 		for _, server := range []string{"s1", "s2"} {
 			breakSend(&requestTracker, "crashing", server, true)
 		}
+		breakSend(&requestTracker, "one crash", "s1", true)
 		for i := range 16 * maxSuspects {
 			breakSend(&requestTracker, fmt.Sprint(i), "s1", false)
 			breakSend(&requestTracker, fmt.Sprint(i), "s2", false)
@@ -259,6 +260,10 @@
 		if state := stateOf(&requestTracker, "crashing"); state != blocked {
 			t.Errorf("state %d of the request that crashed backend servers, expected %d", state, blocked)
 		}
+		breakSend(&requestTracker, "one crash", "s2", true)
+		if state := stateOf(&requestTracker, "one crash"); state != blocked {
+			t.Errorf("state %d of a request with a crash before and one after the others, expected %d", state, blocked)
+		}
 		if count := len(requestTracker.Reports()); count > maxPartReports {
 			t.Errorf("%d requests are reported, expected at most %d", count, maxPartReports)
 		}
