--- a/relayer/peers.go
+++ b/relayer/peers.go
@@ -76,8 +76,7 @@
 				Limit:   notice.Busy.Limit,
 			})
 		}
-	case notice.Crashed != nil:
-		return
+	case notice.Crashed != nil: // of an earlier build
 	case notice.Parts != nil:
 		if options.OnParts != nil {
 			options.OnParts(notice.Parts)
