--- a/gateway/soaker/caller_test.go
+++ b/gateway/soaker/caller_test.go
@@ -69,7 +69,13 @@
 
 // send sends one request and returns the response, whose body is not read.
 func (deployment *deployment) send(ctx context.Context, transport *http.Transport, entry int, kind kind, id, key string, headers ...string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/x", deployment.address("1", entry, frontPort), kind), strings.NewReader("question of "+id))
+	return deployment.sendContent(ctx, transport, entry, kind, "/x", "question of "+id, id, key, headers...)
+}
+
+// sendContent does the same for a path below that of the kind and a body.
+func (deployment *deployment) sendContent(ctx context.Context, transport *http.Transport, entry int, kind kind, path, body, id, key string, headers ...string) (*http.Response, error) {
+	target := fmt.Sprintf("http://%s/%s%s", deployment.address("1", entry, frontPort), kind, path)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/soaker/crashing_request_test.go
+++ b/gateway/soaker/crashing_request_test.go
@@ -197,18 +197,7 @@
 func (deployment *deployment) sendRepeat(transport *http.Transport, kind kind, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
 	defer cancel()
-	entry := rand.IntN(len(deployment.entries))
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s%s", deployment.address("1", entry, frontPort), kind, crashingPath), strings.NewReader("question"))
-	if err != nil {
-		deployment.checker.report("%v", err)
-		return
-	}
-	request.Host = host
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Remaining-Ms", fmt.Sprint(callerTime.Milliseconds()))
-	request.Header.Set("Authorization", "Token "+deployment.currentKey())
-	deployment.checker.recordSent(id, kind)
-	response, err := transport.RoundTrip(request)
+	response, err := deployment.sendContent(ctx, transport, rand.IntN(len(deployment.entries)), kind, crashingPath, "question", id, deployment.currentKey())
 	if err != nil {
 		return // an entry that is down or frozen
 	}
