--- a/review/player/event.go
+++ b/review/player/event.go
@@ -53,16 +53,14 @@
 			return nil, err
 		}
 	}
-	entry, err := deployment.AddEntry(stage.Bounds{
+	entries, err := startEntries(deployment, 1, stage.Bounds{
 		GraceSeconds: firstGrace,
 		MemoryMB:     entryMemory,
 	})
 	if err != nil {
 		return nil, err
 	}
-	if err := entry.AwaitReady(); err != nil {
-		return nil, err
-	}
+	entry := entries[0]
 	caller, err := stage.NewCaller(record, entry.Callers())
 	if err != nil {
 		return nil, err
--- a/review/player/grace.go
+++ b/review/player/grace.go
@@ -17,6 +17,8 @@
 	// streamTime is how long a stream lasts, below the route's TimeoutMs, and eventInterval the pause between its events.
 	streamTime    = 7600 * time.Millisecond
 	eventInterval = 100 * time.Millisecond
+	// streamDeadline is the callers' deadline, and the route's TimeoutMs.
+	streamDeadline = 8 * time.Second
 	// streamCallers is the number of callers, which send their requests one after the other within two seconds of the SIGTERM.
 	streamCallers = 8
 	sendInterval  = 225 * time.Millisecond
@@ -24,9 +26,29 @@
 	entryMemory = 284
 )
 
-// playGrace changes GracePeriodS by a new settings file and SIGHUP, stops the entry later and checks LOST: no request that the entry has passed on may end without
-// its complete answer before the new grace period is over.
+// playGrace changes GracePeriodS by SIGHUP with a new settings file.
 func playGrace(deployment *stage.Deployment, record *stage.Record, trouble bool) (broken []string, err error) {
+	return playLaterGrace(deployment, record, trouble, func(entry *stage.Entry) error {
+		entry.Signal(syscall.SIGHUP)
+		time.Sleep(stableWindow)
+		if entry.Logged("event=reloaded") == 0 {
+			return eris.Wrap(errNotRun, "the entry has not read its settings")
+		}
+		return nil
+	})
+}
+
+// playSettings changes GracePeriodS by a new settings file only.
+func playSettings(deployment *stage.Deployment, record *stage.Record, trouble bool) (broken []string, err error) {
+	return playLaterGrace(deployment, record, trouble, func(*stage.Entry) error {
+		time.Sleep(stableWindow)
+		return nil
+	})
+}
+
+// playLaterGrace changes GracePeriodS of one of two entries, stops it later and checks LOST: no request that the entry has passed on may end without its complete
+// answer before the new grace period is over. Without the disruption, the later value is in the settings from the start.
+func playLaterGrace(deployment *stage.Deployment, record *stage.Record, trouble bool, tell func(entry *stage.Entry) error) (broken []string, err error) {
 	server := &stage.Server{
 		ID:      "i-model-0",
 		Service: "model",
@@ -43,18 +65,9 @@
 	if trouble {
 		bounds.GraceSeconds = firstGrace
 	}
-	var entries []*stage.Entry
-	for range 2 {
-		entry, err := deployment.AddEntry(bounds)
-		if err != nil {
-			return nil, err
-		}
-		entries = append(entries, entry)
-	}
-	for _, entry := range entries {
-		if err := entry.AwaitReady(); err != nil {
-			return nil, err
-		}
+	entries, err := startEntries(deployment, 2, bounds)
+	if err != nil {
+		return nil, err
 	}
 	callers, err := warmCallers(record, entries[0].Callers())
 	if err != nil {
@@ -65,15 +78,30 @@
 		if err := entries[0].WriteSettings(bounds); err != nil {
 			return nil, err
 		}
-		entries[0].Signal(syscall.SIGHUP)
-		time.Sleep(3 * time.Second)
-		if entries[0].Logged("event=reloaded") == 0 {
-			return nil, eris.Wrap(errNotRun, "the entry has not read its settings")
+		if err := tell(entries[0]); err != nil {
+			return nil, err
 		}
 	}
 	return stopUnderStreams(record, entries[0], callers), nil
 }
 
+// startEntries starts entries and waits until they are ready.
+func startEntries(deployment *stage.Deployment, count int, bounds stage.Bounds) (entries []*stage.Entry, err error) {
+	for range count {
+		entry, err := deployment.AddEntry(bounds)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+	}
+	for _, entry := range entries {
+		if err := entry.AwaitReady(); err != nil {
+			return nil, err
+		}
+	}
+	return entries, nil
+}
+
 // configureStreams writes a configuration with one route for streams that cannot be resumed, and starts its backend server.
 func configureStreams(deployment *stage.Deployment, server *stage.Server) error {
 	routes := []any{map[string]any{"Name": "recap", "Host": stage.Host, "Prefix": "/recap/", "Kind": "streaming", "Service": server.Service,
@@ -99,12 +127,13 @@
 	if err := run.BeginStream(); err != nil {
 		return err
 	}
+	begun := time.Now()
 	for number := range events {
 		if err := run.WriteChunk(fmt.Sprintf("id: %d\ndata: words\n\n", number+1)); err != nil {
 			return err
 		}
 		if events > 1 {
-			time.Sleep(eventInterval)
+			time.Sleep(time.Until(begun.Add(time.Duration(number+1) * eventInterval)))
 		}
 	}
 	return run.EndStream()
@@ -138,17 +167,19 @@
 	stopped := time.Now()
 	answers := make([]stage.Answer, len(callers))
 	ends := make([]time.Duration, len(callers))
+	lasted := make([]time.Duration, len(callers))
 	var wait sync.WaitGroup
 	for number, caller := range callers {
 		wait.Go(func() {
 			time.Sleep(time.Until(stopped.Add(time.Duration(number+1) * sendInterval)))
+			sent := time.Now()
 			answers[number] = caller.Send(stage.Request{
 				Method:   "POST",
 				Path:     "/recap/long",
 				ID:       fmt.Sprintf("long-%d", number),
-				Deadline: 8 * time.Second,
+				Deadline: streamDeadline,
 			})
-			ends[number] = time.Since(stopped)
+			ends[number], lasted[number] = time.Since(stopped), time.Since(sent)
 		})
 	}
 	select {
@@ -158,8 +189,8 @@
 	}
 	wait.Wait()
 	for number, answer := range answers {
-		// A caller whose request was refused, or not read, lost nothing.
-		if answer.Status == 200 && !answer.Complete {
+		// A caller whose request was refused, or not read, lost nothing, and the deadline may end an answer.
+		if answer.Status == 200 && !answer.Complete && lasted[number] < streamDeadline-eventInterval {
 			broken = append(broken, fmt.Sprintf("LOST: the answer to long-%d, passed on to a backend server that works on it, ends without its end %.1f s after the SIGTERM: %v",
 				number, ends[number].Seconds(), answer.Err))
 		}
--- a/review/player/header.go
+++ b/review/player/header.go
@@ -44,16 +44,14 @@
 	if err := deployment.AddServer(server); err != nil {
 		return nil, err
 	}
-	entry, err := deployment.AddEntry(stage.Bounds{
+	entries, err := startEntries(deployment, 1, stage.Bounds{
 		GraceSeconds: firstGrace,
 		MemoryMB:     entryMemory,
 	})
 	if err != nil {
 		return nil, err
 	}
-	if err := entry.AwaitReady(); err != nil {
-		return nil, err
-	}
+	entry := entries[0]
 	var callers []*stage.Caller
 	for number := range headerCallers {
 		caller, err := stage.NewCaller(record, entry.Callers())
--- a/review/player/main.go
+++ b/review/player/main.go
@@ -30,11 +30,12 @@
 
 func run(arguments []string) int {
 	plays := map[string]play{
-		"grace":  playGrace,
-		"event":  playEvent,
-		"memory": playMemory,
-		"header": playHeader,
-		"poison": playPoison,
+		"grace":    playGrace,
+		"settings": playSettings,
+		"event":    playEvent,
+		"memory":   playMemory,
+		"header":   playHeader,
+		"poison":   playPoison,
 	}
 	if len(arguments) != 2 || plays[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, usageMessage)
--- a/review/player/memory.go
+++ b/review/player/memory.go
@@ -16,7 +16,7 @@
 	memoryEntries = 4
 	lostEntries   = 2
 	// uploadCallers is the number of callers, each of which has one request at a time.
-	uploadCallers = 124
+	uploadCallers = 132
 	// uploadBytes is just within MaxBodyBytes.
 	uploadBytes = 4<<20 - 1024
 	// uploadWork is how long a backend server works on a request.
@@ -46,21 +46,16 @@
 	if err := configureUploads(deployment); err != nil {
 		return nil, err
 	}
-	entries := make([]*watched, memoryEntries)
-	for number := range entries {
-		entry, err := deployment.AddEntry(stage.Bounds{
-			GraceSeconds: firstGrace,
-			MemoryMB:     entryMemory,
-		})
-		if err != nil {
-			return nil, err
-		}
-		entries[number] = &watched{entry: entry}
+	started, err := startEntries(deployment, memoryEntries, stage.Bounds{
+		GraceSeconds: firstGrace,
+		MemoryMB:     entryMemory,
+	})
+	if err != nil {
+		return nil, err
 	}
-	for _, watched := range entries {
-		if err := watched.entry.AwaitReady(); err != nil {
-			return nil, err
-		}
+	var entries []*watched
+	for _, entry := range started {
+		entries = append(entries, &watched{entry: entry})
 	}
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
--- a/review/player/poison.go
+++ b/review/player/poison.go
@@ -54,21 +54,12 @@
 			return nil, err
 		}
 	}
-	var entries []*stage.Entry
-	for range poisonEntries {
-		entry, err := deployment.AddEntry(stage.Bounds{
-			GraceSeconds: firstGrace,
-			MemoryMB:     entryMemory,
-		})
-		if err != nil {
-			return nil, err
-		}
-		entries = append(entries, entry)
-	}
-	for _, entry := range entries {
-		if err := entry.AwaitReady(); err != nil {
-			return nil, err
-		}
+	entries, err := startEntries(deployment, poisonEntries, stage.Bounds{
+		GraceSeconds: firstGrace,
+		MemoryMB:     entryMemory,
+	})
+	if err != nil {
+		return nil, err
 	}
 	time.Sleep(stableWindow) // the entries know each other, and are in touch
 	if err := repeatPoison(record, entries); err != nil {
--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -128,14 +128,14 @@
 // Exited returns a channel that is closed when the process has ended.
 func (entry *Entry) Exited() <-chan struct{} { return entry.exited }
 
-// ResidentMB returns how much memory the process uses.
+// ResidentMB returns how much memory of its own the process uses, without the pages of its program's file.
 func (entry *Entry) ResidentMB() int {
 	text, err := os.ReadFile("/proc/" + strconv.Itoa(entry.command.Process.Pid) + "/status")
 	if err != nil {
 		return 0 // the process has ended
 	}
 	for line := range strings.Lines(string(text)) {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "RssAnon:" {
 			kilobytes, _ := strconv.Atoi(fields[1]) // the kernel writes a number
 			return kilobytes >> 10
 		}
