--- a/review/player/event.go
+++ b/review/player/event.go
@@ -15,7 +15,7 @@
 	// eventRequests is the number of stream requests, and eventCount that of the events of a stream.
 	eventRequests = 120
 	eventCount    = 26
-	// spoilEvery is the number of answers of the faulty backend server one of which is spoiled: a share of 0.05.
+	// spoilEvery is the number of answers of the faulty backend server the last of which is spoiled: a share of 0.05 at most.
 	spoilEvery = 20
 	// spoiledEvent is the event in which a byte is wrong, and wrongDigit is that byte.
 	spoiledEvent = 3
@@ -95,7 +95,7 @@
 	}
 	for number := 1; number <= eventCount; number++ {
 		id := fmt.Sprint(number)
-		if spoil && number == spoiledEvent && run.Number%spoilEvery == 1 {
+		if spoil && number == spoiledEvent && run.Number%spoilEvery == 0 {
 			id = wrongDigit
 			record.Add("the answer to %s has one wrong byte: %q in place of %q in the ID of an event", run.ID, id, fmt.Sprint(number))
 		}
@@ -114,6 +114,9 @@
 	if answer.Status != 200 || !answer.Complete {
 		return ""
 	}
+	if !answer.Signed {
+		return fmt.Sprintf("MIXED: %s got a success without a signature", id)
+	}
 	written.mutex.Lock()
 	defer written.mutex.Unlock()
 	for _, body := range written.bodies[id] {
--- a/review/player/grace.go
+++ b/review/player/grace.go
@@ -82,7 +82,7 @@
 			return nil, err
 		}
 	}
-	return stopUnderStreams(record, entries[0], callers), nil
+	return stopUnderStreams(record, entries[0], server, callers), nil
 }
 
 // startEntries starts entries and waits until they are ready.
@@ -102,6 +102,9 @@
 	return entries, nil
 }
 
+// longID returns the ID of a caller's request during the stop.
+func longID(number int) string { return fmt.Sprintf("long-%d", number) }
+
 // configureStreams writes a configuration with one route for streams that cannot be resumed, and starts its backend server.
 func configureStreams(deployment *stage.Deployment, server *stage.Server) error {
 	routes := []any{map[string]any{"Name": "recap", "Host": stage.Host, "Prefix": "/recap/", "Kind": "streaming", "Service": server.Service,
@@ -162,7 +165,7 @@
 }
 
 // stopUnderStreams sends SIGTERM, then one stream request for each caller, and SIGKILL at the end of the grace period, and returns what was cut.
-func stopUnderStreams(record *stage.Record, entry *stage.Entry, callers []*stage.Caller) (broken []string) {
+func stopUnderStreams(record *stage.Record, entry *stage.Entry, server *stage.Server, callers []*stage.Caller) (broken []string) {
 	entry.Signal(syscall.SIGTERM)
 	stopped := time.Now()
 	answers := make([]stage.Answer, len(callers))
@@ -176,7 +179,7 @@
 			answers[number] = caller.Send(stage.Request{
 				Method:   "POST",
 				Path:     "/recap/long",
-				ID:       fmt.Sprintf("long-%d", number),
+				ID:       longID(number),
 				Deadline: streamDeadline,
 			})
 			ends[number], lasted[number] = time.Since(stopped), time.Since(sent)
@@ -189,8 +192,9 @@
 	}
 	wait.Wait()
 	for number, answer := range answers {
-		// A caller whose request was refused, or not read, lost nothing, and the deadline may end an answer.
-		if answer.Status == 200 && !answer.Complete && lasted[number] < streamDeadline-eventInterval {
+		// What the rule does not count: requests that no backend server has run, and answers that the deadline ended, or the last sixth of the grace period.
+		passedOn, excused := server.HasRun(longID(number)), lasted[number] >= streamDeadline-eventInterval || ends[number] >= laterGrace*time.Second*5/6
+		if passedOn && !answer.Complete && !excused {
 			broken = append(broken, fmt.Sprintf("LOST: the answer to long-%d, passed on to a backend server that works on it, ends without its end %.1f s after the SIGTERM: %v",
 				number, ends[number].Seconds(), answer.Err))
 		}
--- a/review/player/memory.go
+++ b/review/player/memory.go
@@ -19,8 +19,11 @@
 	uploadCallers = 132
 	// uploadBytes is just within MaxBodyBytes.
 	uploadBytes = 4<<20 - 1024
-	// uploadWork is how long a backend server works on a request.
-	uploadWork = 200 * time.Millisecond
+	// uploadServers is the number of backend servers, with places for all callers, and uploadWork how long one works on a request.
+	uploadServers = 5
+	uploadWork    = 900 * time.Millisecond
+	// uploadRate is how many bytes a second callers send to an entry at most, so that no packet waits at its link of LinkMbps 1,000.
+	uploadRate = 100e6
 	// calmTime is how long the callers send before the loss, and lossTime how long after it, in which the lost entries stay away.
 	calmTime = 6 * time.Second
 	lossTime = 25 * time.Second
@@ -38,6 +41,22 @@
 	lost  atomic.Bool
 	ends  int
 	peak  int
+
+	mutex sync.Mutex
+	// free is when the link to the entry is free for the next body.
+	free time.Time
+}
+
+// awaitLink waits until a body can be sent without waiting at the link.
+func (watched *watched) awaitLink() {
+	watched.mutex.Lock()
+	if now := time.Now(); watched.free.Before(now) {
+		watched.free = now
+	}
+	turn := watched.free
+	watched.free = turn.Add(time.Duration(float64(uploadBytes) / uploadRate * float64(time.Second)))
+	watched.mutex.Unlock()
+	time.Sleep(time.Until(turn))
 }
 
 // playMemory loses two of four entries at once while callers upload bodies within MaxBodyBytes, and checks the fault that processes end by themselves: a process
@@ -78,7 +97,7 @@
 	return memoryEnds(record, entries), nil
 }
 
-// configureUploads writes a configuration with a route for requests that must run once at most, and starts its three backend servers.
+// configureUploads writes a configuration with a route for requests that must run once at most, and starts its backend servers.
 func configureUploads(deployment *stage.Deployment) error {
 	routes := []any{map[string]any{"Name": "book", "Host": stage.Host, "Prefix": "/book/", "Kind": "non_idempotent", "Service": "app",
 		"TimeoutMs": 8000, "TargetLatencyMs": 300, "MaxAttempts": 2, "Priority": 2}}
@@ -86,16 +105,13 @@
 	if err := deployment.Configure(1, routes, services, usualLimits(1<<14)); err != nil {
 		return err
 	}
-	for number := range 3 {
-		slots := make(chan struct{}, 6)
+	for number := range uploadServers {
 		server := &stage.Server{
 			ID:      fmt.Sprintf("i-app-%d", number),
 			Service: "app",
-			Slots:   cap(slots),
+			Slots:   6,
 			Answer: func(run *stage.Run) error {
-				slots <- struct{}{}
 				time.Sleep(uploadWork)
-				<-slots
 				return run.Respond([]byte("booked"))
 			},
 		}
@@ -143,6 +159,7 @@
 		if entry.lost.Load() {
 			entry = entries[lostEntries+number%(memoryEntries-lostEntries)]
 		}
+		entry.awaitLink()
 		caller, err := stage.NewCaller(record, entry.entry.Callers())
 		if err != nil {
 			time.Sleep(restartDelay)
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -44,7 +44,7 @@
 }
 
 // ports are the ports of all entries, which are the same on all instances.
-type ports struct{ peers, callers, ready, metrics int }
+type ports struct{ peers, callers, ready, control, metrics int }
 
 // NewDeployment returns a deployment with a store and nothing else.
 func NewDeployment(record *Record) (*Deployment, error) {
@@ -59,28 +59,52 @@
 		store:     storeserver.New(),
 		ended:     make(chan struct{}),
 	}
-	for _, port := range []*int{&deployment.ports.peers, &deployment.ports.callers, &deployment.ports.ready, &deployment.ports.metrics} {
-		if *port, err = freePort(deployment.ip(firstEntryHost)); err != nil {
-			return nil, err
-		}
+	if err := deployment.ports.choose(deployment.ip(firstEntryHost)); err != nil {
+		return nil, err
 	}
 	listener, err := net.Listen("tcp", deployment.ip(1)+":0")
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for calls to the store")
 	}
 	deployment.address = listener.Addr().String()
-	go func() { _ = http.Serve(listener, deployment.store) }() // ends with the program
+	go func() { _ = http.Serve(listener, withoutEra{deployment.store}) }() // ends with the program
 	deployment.wait.Go(deployment.beat)
 	return deployment, nil
 }
 
-func freePort(ip string) (int, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, eris.Wrap(err, "look for a free port")
+// choose sets the ports to free ones, each another.
+func (ports *ports) choose(ip string) error {
+	for _, port := range []*int{&ports.peers, &ports.callers, &ports.ready, &ports.control, &ports.metrics} {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return eris.Wrap(err, "look for a free port")
+		}
+		defer listener.Close() // open until all are chosen
+		*port = listener.Addr().(*net.TCPAddr).Port
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return nil
+}
+
+// withoutEra is the store without the header that names its era, which is no part of the users' pages that are in force.
+type withoutEra struct{ store http.Handler }
+
+// ServeHTTP serves a call.
+func (withoutEra withoutEra) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	withoutEra.store.ServeHTTP(eraRemover{writer}, request)
+}
+
+type eraRemover struct{ http.ResponseWriter }
+
+// WriteHeader removes the header before the others are sent.
+func (eraRemover eraRemover) WriteHeader(status int) {
+	eraRemover.Header().Del("Store-Era")
+	eraRemover.ResponseWriter.WriteHeader(status)
+}
+
+// Write does the same for an answer without an explicit status.
+func (eraRemover eraRemover) Write(text []byte) (int, error) {
+	eraRemover.Header().Del("Store-Era")
+	return eraRemover.ResponseWriter.Write(text)
 }
 
 func (deployment *Deployment) ip(host int) string {
@@ -121,6 +145,9 @@
 		servers := deployment.servers
 		deployment.mutex.Unlock()
 		for _, server := range servers {
+			if server.isDown() {
+				continue // a backend server that has crashed writes nothing
+			}
 			if err := deployment.register(server); err != nil {
 				deployment.record.Add("registration of %s failed: %v", server.ID, err)
 			}
@@ -134,7 +161,7 @@
 	sequence := deployment.sequence
 	deployment.mutex.Unlock()
 	return deployment.Put("servers/"+server.ID, map[string]any{"Service": server.Service, "Address": server.Address(), "Zone": "zone-a", "Version": 1,
-		"Slots": server.Slots, "State": "ready", "ColdRemainingMs": 0, "Sequence": sequence})
+		"Slots": server.Slots, "State": "ready", "ColdRemainingMs": 0, "Sequence": sequence, "born": server.bornAt()})
 }
 
 // AddServer starts a backend server and registers it.
--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -65,8 +65,8 @@
 	ports := entry.deployment.ports
 	text, err := json.Marshal(map[string]any{
 		"instance": entry.name, "zone": "zone-a", "address": entry.deployment.ip(entry.host), "first_port": ports.peers,
-		"seeds":   []string{net.JoinHostPort(entry.deployment.ip(firstEntryHost), strconv.Itoa(ports.ready))},
-		"callers": entry.Callers(), "ready": entry.at(ports.ready), "control": "", "rank": "", "metrics": entry.at(ports.metrics), "service": "",
+		"seeds":   []string{net.JoinHostPort(entry.deployment.ip(firstEntryHost), strconv.Itoa(ports.control))},
+		"callers": entry.Callers(), "ready": entry.at(ports.ready), "control": entry.at(ports.control), "rank": "", "metrics": entry.at(ports.metrics), "service": "",
 		"memory_mb": bounds.MemoryMB, "link_mbps": 1000, "store": entry.deployment.address, "store_minimum_lease_ms": 1000,
 		"drain_ms": 2000, "grace_s": bounds.GraceSeconds, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 94,
 	})
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,7 +19,8 @@
 // Server is a backend server (a runner on the users' pages): it runs each request that names it, and refuses others with status 421.
 type Server struct {
 	ID, Service string
-	Slots       int
+	// Slots is the number of requests that run at once, and queueLength that of those which wait; others are rejected as not run.
+	Slots int
 	// Answer runs a request and writes its answer; an error ends the connection.
 	Answer func(run *Run) error
 
@@ -29,8 +31,16 @@
 	listener    net.Listener
 	connections map[net.Conn]bool
 	runs        int
+	ran         map[string]bool
+	down        bool
+	born        int64
+	waiting     int
+	slots       chan struct{}
 }
 
+// queueLength is that of the sheets' services.
+const queueLength = 24
+
 // Run is one request that a backend server runs.
 type Run struct {
 	net.Conn
@@ -52,6 +62,7 @@
 	}
 	server.mutex.Lock()
 	server.record, server.address, server.listener, server.connections = record, listener.Addr().String(), listener, map[net.Conn]bool{}
+	server.down, server.born, server.waiting, server.slots = false, time.Now().UnixMilli(), 0, make(chan struct{}, server.Slots)
 	server.mutex.Unlock()
 	go func() {
 		for {
@@ -68,12 +79,32 @@
 func (server *Server) stop() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	server.down = true
 	_ = server.listener.Close() // nothing is accepted any more, also after an error
 	for conn := range server.connections {
 		_ = conn.Close() // its requests end
 	}
 }
 
+// HasRun returns whether the backend server has run a request.
+func (server *Server) HasRun(id string) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.ran[id]
+}
+
+func (server *Server) isDown() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.down
+}
+
+func (server *Server) bornAt() int64 {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.born
+}
+
 // Crash ends the backend server as a process ends that crashes: nothing listens at its address and its connections end. It starts again after a time, with the same
 // ID.
 func (server *Server) Crash(down time.Duration) error {
@@ -112,23 +143,71 @@
 			Body:    body,
 			ID:      request.Header.Get("X-Attempt-Id"),
 		}
-		if request.Header.Get("X-Expected-Instance") != server.ID {
-			err = run.write(http.StatusMisdirectedRequest, "X-Not-Executed: 1\r\n", nil)
-		} else {
-			server.mutex.Lock()
-			server.runs++
-			run.Number = server.runs
-			server.mutex.Unlock()
-			server.record.Add("%s runs %s", server.ID, run.ID)
-			err = server.Answer(run)
-		}
-		if err != nil {
+		if err := server.answer(run); err != nil {
 			server.record.Add("%s ends the connection of %s: %v", server.ID, run.ID, err)
 			return
 		}
 	}
 }
 
+// answer runs a request in a slot, or rejects it as the pages tell.
+func (server *Server) answer(run *Run) error {
+	if run.Request.URL.Path == "/health" {
+		return run.write(http.StatusOK, "X-Instance-Id: "+server.ID+"\r\n", nil)
+	}
+	if run.ID == "" {
+		return run.write(http.StatusBadRequest, notExecuted, nil)
+	}
+	if expected := run.Request.Header.Get("X-Expected-Instance"); expected != "" && expected != server.ID {
+		return run.write(http.StatusMisdirectedRequest, notExecuted, nil)
+	}
+	release := server.acquireSlot(run)
+	if release == nil {
+		return run.write(http.StatusServiceUnavailable, notExecuted, nil)
+	}
+	defer release()
+	server.mutex.Lock()
+	server.runs++
+	run.Number = server.runs
+	if server.ran == nil {
+		server.ran = map[string]bool{}
+	}
+	server.ran[run.ID] = true
+	server.mutex.Unlock()
+	server.record.Add("%s runs %s", server.ID, run.ID)
+	return server.Answer(run)
+}
+
+// acquireSlot waits for a slot and returns a function that frees it, or nil if too many requests wait or the request's deadline passes.
+func (server *Server) acquireSlot(run *Run) (release func()) {
+	server.mutex.Lock()
+	slots := server.slots
+	if server.waiting >= queueLength {
+		server.mutex.Unlock()
+		return nil
+	}
+	server.waiting++
+	server.mutex.Unlock()
+	defer func() {
+		server.mutex.Lock()
+		server.waiting--
+		server.mutex.Unlock()
+	}()
+	milliseconds, err := strconv.Atoi(run.Request.Header.Get("X-Deadline-Remaining-Ms"))
+	if err != nil {
+		milliseconds = int(time.Hour / time.Millisecond)
+	}
+	select {
+	case slots <- struct{}{}:
+		return func() { <-slots }
+	case <-time.After(time.Duration(milliseconds) * time.Millisecond):
+		return nil
+	}
+}
+
+// notExecuted is the statement that a request did not run.
+const notExecuted = "X-Not-Executed: 1\r\n"
+
 // Respond writes a complete, signed answer.
 func (run *Run) Respond(body []byte) error {
 	return run.write(http.StatusOK, run.signature(), body)
