--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -84,3 +84,32 @@
 		})
 	}
 }
+
+// TestWrongOffsetsEndNoOtherResponse guards against taking a frame for a repetition because of a wrong offset: what it leaves out or moves must not end as a complete
+// response.
+func TestWrongOffsetsEndNoOtherResponse(t *testing.T) {
+	texts := []string{"ab", "cde", "f", ""}
+	const whole = "abcdef"
+	for spoiled := range texts {
+		for offset := range 2 * len(whole) {
+			assembler := New("one")
+			joined, position, failed := "", 0, false
+			for i, text := range texts {
+				at, length := position, -1
+				if i == spoiled {
+					at = offset
+				}
+				if i == len(texts)-1 {
+					length = len(whole)
+				}
+				added, err := assembler.Add(frame("one", at, text, length))
+				failed = failed || err != nil
+				joined += added
+				position += len(text)
+			}
+			if !failed && assembler.End() != nil && joined != whole {
+				t.Errorf("frame %d at offset %d: a complete response %q, expected %q or a failure", spoiled, offset, joined, whole)
+			}
+		}
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -1,22 +1,16 @@
 package forwarder
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/connector"
 	"github.com/cranberryward/cranberryward/platform"
-	"github.com/rotisserie/eris"
 )
 
 const (
-	// maxEventBytes bounds an event.
-	maxEventBytes = 256 << 10
 	// resumeDelay gives a group that lost a rank time to reopen before its streams are resumed.
 	resumeDelay = 150 * time.Millisecond
 	// maxResumeWait bounds the wait for a group to reopen; callers leave after a pause of two seconds.
@@ -25,23 +19,16 @@
 	maxResumes = 3
 )
 
-// errTruncatedEvent means that a stream ended within an event.
-var errTruncatedEvent = eris.New("stream ended within an event")
-
-// errForeignEvent means that a stream whose events have numeric IDs has something else between them, such as an error's head or text.
-var errForeignEvent = eris.New("stream with something else than an event")
-
-// errEventTooLong means that an event is longer than maxEventBytes.
-var errEventTooLong = eris.Errorf("stream with an event longer than %d bytes", maxEventBytes)
-
 // relay copies the events of one stream to its caller, from one backend server and then from those that resume the stream.
 type relay struct {
 	writer     http.ResponseWriter
 	flusher    http.Flusher
 	headerSent bool
-	// lastID is the id of the last event that the caller got, as the backend servers count them, and lastSeq is the last numeric id, or -1.
-	lastID  string
-	lastSeq int64
+	// sequence follows the IDs of the events that the caller got.
+	sequence eventSequence
+	// held are the comments before the first event, as nothing is sent until the stream has begun, and later the blank lines behind an event, which a wrong length of a part
+	// may have made.
+	held []byte
 	// contentType is that of the response that began the stream, which one that resumes it has too.
 	contentType string
 	// server is the backend server that began the stream, and load is the load that it reported then.
@@ -106,8 +93,7 @@
 	relay := &relay{
 		writer:        writer,
 		flusher:       flusher,
-		lastID:        exchange.metadata.LastEventID,
-		lastSeq:       -1,
+		sequence:      newEventSequence(exchange.metadata.LastEventID),
 		contentType:   response.HTTP().Header.Get("Content-Type"),
 		server:        state.server.ID,
 		load:          platform.ReadResponse(response.HTTP()).Load,
@@ -116,9 +102,6 @@
 		onFirstEvent:  func() { forwarder.recordServed(exchange) },
 	}
 	defer relay.endStream()
-	if number, err := strconv.ParseInt(exchange.metadata.LastEventID, 10, 64); err == nil {
-		relay.lastSeq = number
-	}
 	for range maxResumes + 1 {
 		err := relay.copyEvents(response)
 		relay.flush()
@@ -143,6 +126,9 @@
 		if !relay.headerSent {
 			return false
 		}
+		if !relay.sequence.resumable() {
+			break
+		}
 		if state, response = forwarder.resume(exchange, relay); response == nil {
 			break
 		}
@@ -178,7 +164,7 @@
 			return nil, nil
 		}
 		exchange.choose(picked)
-		response, err := forwarder.send(exchange, state, exchange.usePermit(permit), relay.lastID)
+		response, err := forwarder.send(exchange, state, exchange.usePermit(permit), relay.sequence.lastID())
 		if err != nil {
 			forwarder.recordFailedSend(exchange, state, err)
 			continue
@@ -187,6 +173,8 @@
 		forwarder.recordRequestLimit(state, metadata.RequestLimit, exchange.sentAt)
 		if response.HTTP().StatusCode == http.StatusOK && metadata.Signed && !metadata.Encoded && response.HTTP().Header.Get("Content-Type") == relay.contentType {
 			exchange.recordVerdict(state.server.ID, cranberryward.Ran)
+			relay.sequence.resume()
+			relay.held = relay.held[:0]
 			return state, response
 		}
 		outcome := outcomeRefused
@@ -202,70 +190,62 @@
 
 // copyEvents copies complete events to the caller until the stream ends, and returns an error if the stream breaks off.
 func (relay *relay) copyEvents(response *connector.Response) error {
-	reader := bufio.NewReaderSize(response.HTTP().Body, 4<<10)
-	var event []byte
-	var id string
+	reader := newEventReader(response.HTTP().Body)
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case len(event) > maxEventBytes:
-			return errEventTooLong
-		case err == bufio.ErrBufferFull:
-			continue
-		case err == io.EOF:
-			return relay.finishBody(response, event)
-		case err != nil:
-			return err
+		event, err := reader.next()
+		if err == io.EOF {
+			return relay.begin(response)
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if value, found := bytes.CutPrefix(trimmed, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+		if err != nil {
+			return err
 		}
-		if len(trimmed) > 0 {
-			continue
+		if event.unknown && response.CloseDelimited() {
+			return errForeignEvent // without a length, a part of the framing or of another response would look like one of the stream
 		}
-		if err := relay.forward(response, event, id); err != nil {
+		if err := relay.forward(response, event); err != nil {
 			return err
 		}
-		event, id = event[:0], ""
-		if reader.Buffered() == 0 {
+		if !reader.buffered() {
 			relay.flush()
 		}
 	}
 }
 
-// forward writes an event with the given ID, or a comment, to the caller, unless the caller has got it already.
-func (relay *relay) forward(response *connector.Response, event []byte, id string) error {
-	comment := isComment(event)
-	number, err := strconv.ParseInt(id, 10, 64)
+// forward writes an event or a comment to the caller, unless the caller has got it already.
+func (relay *relay) forward(response *connector.Response, event *event) error {
+	wanted, err := relay.sequence.place(event)
 	switch {
-	case comment && !relay.headerSent:
-		return nil // the response begins with its first event
-	case comment:
-	case err != nil && relay.lastSeq >= 0:
-		return errForeignEvent
-	case err == nil && number <= relay.lastSeq:
+	case err != nil:
+		return err
+	case !wanted:
 		return nil
-	default:
-		relay.writeHeader(response)
-		relay.recordEvent(time.Now())
+	case event.comment && (event.blank || !relay.headerSent):
+		return relay.hold(event)
 	}
-	if _, err := relay.writer.Write(event); err != nil {
+	if err := relay.begin(response); err != nil {
 		return err
 	}
-	relay.recordID(id)
+	if !event.comment {
+		relay.recordEvent(time.Now())
+	}
+	return relay.write(event.text)
+}
+
+// hold keeps a comment or a blank line until more of the stream is sent, or its end.
+func (relay *relay) hold(event *event) error {
+	if len(relay.held)+len(event.text) > maxEventBytes {
+		return errEventTooLong
+	}
+	relay.held = append(relay.held, event.text...)
 	return nil
 }
 
-// isComment returns whether a block of lines holds nothing but comments.
-func isComment(block []byte) bool {
-	for line := range bytes.Lines(block) {
-		if line[0] != ':' && len(bytes.TrimSpace(line)) > 0 {
-			return false
-		}
+// write writes to the caller.
+func (relay *relay) write(text []byte) error {
+	if _, err := relay.writer.Write(text); err != nil {
+		return err
 	}
-	return true
+	return nil
 }
 
 // flush sends buffered events to the caller.
@@ -275,33 +255,18 @@
 	}
 }
 
-// finishBody handles the end of the body, which is an error within an event: the stream has been broken off, however its body is framed.
-func (relay *relay) finishBody(response *connector.Response, rest []byte) error {
-	if len(rest) > 0 {
-		return errTruncatedEvent
+// begin sends the caller the status and headers of the first backend server's response, once, and what was held.
+func (relay *relay) begin(response *connector.Response) error {
+	if !relay.headerSent {
+		relay.headerSent = true
+		platform.CopyResponseHeaders(relay.writer.Header(), response.HTTP().Header)
+		relay.writer.Header().Del("Content-Length")
+		relay.writer.WriteHeader(response.HTTP().StatusCode)
 	}
-	relay.writeHeader(response)
-	return nil
-}
-
-// recordID records the id of an event that the caller got, if it has one.
-func (relay *relay) recordID(id string) {
-	if id == "" {
-		return
-	}
-	relay.lastID = id
-	if number, err := strconv.ParseInt(id, 10, 64); err == nil {
-		relay.lastSeq = number
-	}
-}
-
-// writeHeader sends the caller the status and headers of the first backend server's response, once.
-func (relay *relay) writeHeader(response *connector.Response) {
-	if relay.headerSent {
-		return
+	if len(relay.held) == 0 {
+		return nil
 	}
-	relay.headerSent = true
-	platform.CopyResponseHeaders(relay.writer.Header(), response.HTTP().Header)
-	relay.writer.Header().Del("Content-Length")
-	relay.writer.WriteHeader(response.HTTP().StatusCode)
+	err := relay.write(relay.held)
+	relay.held = relay.held[:0]
+	return err
 }
--- a/gateway/entry/faulty_answer_test.go
+++ b/gateway/entry/faulty_answer_test.go
@@ -120,3 +120,51 @@
 		t.Errorf("response %d %q, expected %q", status, body, text)
 	}
 }
+
+// sendsEvents sends a stream of the given events as chunks, and ends it or breaks it off.
+func sendsEvents(whole bool, events ...string) script {
+	return func(exchange *scriptserver.Exchange) bool {
+		io.WriteString(exchange, scriptserver.ResponseHead(exchange.Request.Header.Get("X-Attempt-Id"), 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+		for _, event := range events {
+			fmt.Fprintf(exchange, "%x\r\n%s\r\n", len(event), event)
+		}
+		if whole {
+			io.WriteString(exchange, "0\r\n\r\n")
+		}
+		return whole
+	}
+}
+
+// TestStreamWithAWrongID guards against a complete stream in which events are missing: of one run all events are forwarded, in which a wrong digit of an ID makes none
+// look like a repetition; at a wrong ID a stream is not resumed; and a run that resumes a stream is joined to it at the right place only.
+func TestStreamWithAWrongID(t *testing.T) {
+	wrong := func(id, number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, number) }
+	for name, test := range map[string]struct {
+		path    string
+		scripts []script
+		status  int
+		body    string
+	}{
+		"too high, once":         {"/once/", []script{sendsEvents(true, events(0, 2), wrong(9, 3), events(3, 12))}, 200, events(0, 2) + wrong(9, 3) + events(3, 12)},
+		"too high, resumable":    {"/stream/", []script{sendsEvents(true, events(0, 2), wrong(9, 3), events(3, 12))}, 200, events(0, 2) + wrong(9, 3) + events(3, 12)},
+		"higher than all others": {"/stream/", []script{sendsEvents(true, events(0, 2), wrong(99, 3), events(3, 12))}, 200, events(0, 2) + wrong(99, 3) + events(3, 12)},
+		"too low":                {"/stream/", []script{sendsEvents(true, events(0, 2), wrong(1, 3), events(3, 12))}, 200, events(0, 2) + wrong(1, 3) + events(3, 12)},
+		"the last event":         {"/stream/", []script{sendsEvents(true, events(0, 2), wrong(2, 3))}, 200, events(0, 2) + wrong(2, 3)},
+		"a comment and a blank line at the begin": {"/stream/", []script{sendsEvents(true, ": begun\n\n", "\n", events(0, 2))}, 200, ": begun\n\n\n" + events(0, 2)},
+		"a comment alone":                         {"/once/", []script{sendsEvents(true, ": begun\n\n")}, 200, ": begun\n\n"},
+		"a break behind it":                       {"/stream/", []script{sendsEvents(false, events(0, 2), wrong(9, 3)), resumes(12)}, 0, events(0, 2) + wrong(9, 3)},
+		"a break later":                           {"/stream/", []script{sendsEvents(false, events(0, 2), wrong(9, 3), events(3, 5)), resumes(12)}, 0, events(0, 2) + wrong(9, 3) + events(3, 5)},
+		"no IDs, and a break":                     {"/stream/", []script{sendsEvents(false, "data: one\n\n"), sendsEvents(true, "data: one\n\n", "data: two\n\n")}, 0, "data: one\n\n"},
+		"where the stream is resumed":             {"/stream/", []script{sendsEvents(false, events(0, 2)), sendsEvents(true, wrong(1, 3), events(3, 4))}, 0, events(0, 2)},
+		"after the stream was resumed":            {"/stream/", []script{sendsEvents(false, events(0, 2)), sendsEvents(true, events(2, 3), wrong(2, 4), events(4, 6))}, 0, events(0, 3)},
+		"a repetition before the next event":      {"/stream/", []script{sendsEvents(false, events(0, 2)), sendsEvents(true, events(1, 4))}, 200, events(0, 4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixture(t, test.scripts...)
+			status, body := fixture.send(fixture.request(http.MethodPost, test.path, "question"))
+			if status != test.status || body != test.body {
+				t.Errorf("response %d %q, expected %d %q", status, body, test.status, test.body)
+			}
+		})
+	}
+}
