connector: a response whose parts contradict each other on where its body ends is broken (MIXED)

Callers saw, in a new test that replaces one byte at each place of an answer: a complete, signed success with a shorter body, with headers or the sizes of chunks in the body, or without a body.

Cause: contradictions were settled in favor of "complete": what followed a body with a length was dropped, unannounced trailers were read, a line feed alone ended a head, a misspelt Transfer-Encoding left a body that ends with its connection.

Bytes that are no answer behind a whole answer now break it off, since they cannot be told from the rest of a body with a lower length; an additional answer is dropped as before.

--- a/connector/bounded_reader.go
+++ b/connector/bounded_reader.go
@@ -2,15 +2,12 @@
 
 import (
 	"io"
-	"math"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
 
 const (
-	// maxHeadBytes bounds the status and headers of a response.
-	maxHeadBytes = 64 << 10
 	// maxDiscardedBytes bounds the rest of a response that is read only to keep its connection.
 	maxDiscardedBytes = 256 << 10
 	// readChunk is the step in which a body is read and counted.
@@ -18,34 +15,11 @@
 )
 
 var (
-	errHeadTooLong  = eris.Errorf("status and headers of a response are longer than %d bytes", maxHeadBytes)
 	errBuffersFull  = eris.New("the bodies that are being read take more memory than they may")
 	errBodyTooLong  = eris.New("response body is longer than allowed")
 	errTooManyBytes = eris.Errorf("the rest of a response is longer than %d bytes", maxDiscardedBytes)
 )
 
-// headReader reads from a connection and fails once a head is longer than maxHeadBytes.
-type headReader struct {
-	source io.Reader
-	left   int64
-}
-
-// beginHead bounds what is read until endHead.
-func (headReader *headReader) beginHead() { headReader.left = maxHeadBytes }
-
-// endHead lifts the bound, as for a body, which has bounds of its own.
-func (headReader *headReader) endHead() { headReader.left = math.MaxInt64 }
-
-// Read reads no more than the bound allows.
-func (headReader *headReader) Read(data []byte) (int, error) {
-	if headReader.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := headReader.source.Read(data[:min(int64(len(data)), headReader.left)])
-	headReader.left -= int64(n)
-	return n, err
-}
-
 // bufferBudget bounds the memory of all bodies that are being read; its zero value is unlimited.
 type bufferBudget struct {
 	limit int64
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -20,6 +22,9 @@
 	idleLimitShare = 0.6
 )
 
+// errNoInput means that an open connection has received no bytes that were not read.
+var errNoInput = eris.New("no bytes have arrived")
+
 // connection is one connection to a backend server, which must not be reused once it is marked as broken.
 type connection struct {
 	net.Conn
@@ -48,22 +53,54 @@
 	if connection.reader.Buffered() > 0 {
 		return false
 	}
+	_, err := connection.peekSocket(1)
+	return eris.Is(err, errNoInput)
+}
+
+// peekBuffered returns the bytes that were read from the socket and not consumed.
+func (connection *connection) peekBuffered() []byte {
+	data, _ := connection.reader.Peek(connection.reader.Buffered()) // what is buffered is returned without an error
+	return data
+}
+
+// peek returns up to max bytes that have arrived and were not read, without waiting for any.
+func (connection *connection) peek(max int) []byte {
+	if buffered := connection.peekBuffered(); len(buffered) > 0 {
+		return buffered[:min(len(buffered), max)]
+	}
+	data, err := connection.peekSocket(max)
+	if err != nil {
+		return nil // nothing has arrived, or the connection is closed, which its next use finds
+	}
+	return data
+}
+
+// peekSocket returns up to max bytes that have arrived at the socket and leaves them there; it returns errNoInput if the connection is open and has none.
+func (connection *connection) peekSocket(max int) ([]byte, error) {
 	raw, ok := connection.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return nil, errNoInput
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return nil, err
 	}
-	empty := false
+	data := make([]byte, max)
+	n := 0
+	var peekErr error
 	err = control.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK
+		n, _, peekErr = syscall.Recvfrom(int(descriptor), data, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && empty
+	switch {
+	case err != nil:
+		return nil, err
+	case peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK:
+		return nil, errNoInput
+	case peekErr != nil:
+		return nil, peekErr
+	}
+	return data[:n], nil
 }
 
 // readKeepAlive reads from a response whether and for how long the connection may be kept.
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -29,6 +29,8 @@
 	stopInterrupt func() bool
 	bodyWritten   chan error
 	complete      bool
+	// trailers is the number of trailers that the headers announced.
+	trailers int
 }
 
 // Send sends a request and returns its response once the status and headers are read, or a failure whose verdict says whether the request may
@@ -104,7 +106,7 @@
 			return err
 		}
 		if request.Matches(httpResponse) {
-			response.httpResponse = httpResponse
+			response.httpResponse, response.trailers = httpResponse, len(httpResponse.Trailer)
 			response.connection.readKeepAlive(httpResponse)
 			return nil
 		}
@@ -118,10 +120,8 @@
 
 // readFinalHead reads the status and headers of the next response that is not informational.
 func (response *Response) readFinalHead(httpRequest *http.Request) (*http.Response, error) {
-	response.connection.head.beginHead()
-	defer response.connection.head.endHead()
 	for range maxInformational {
-		httpResponse, err := http.ReadResponse(response.connection.reader, httpRequest)
+		httpResponse, err := response.connection.readResponse(httpRequest)
 		if err != nil || httpResponse.StatusCode >= 200 {
 			return httpResponse, err
 		}
@@ -129,14 +129,36 @@
 	return nil, eris.Errorf("more than %d informational responses", maxInformational)
 }
 
+// readResponse reads the status and headers of the next response.
+func (connection *connection) readResponse(httpRequest *http.Request) (*http.Response, error) {
+	connection.head.beginHead(connection.peekBuffered())
+	httpResponse, err := http.ReadResponse(connection.reader, httpRequest)
+	lineErr := connection.head.endHead()
+	if err != nil {
+		return nil, err
+	}
+	if lineErr != nil {
+		return nil, lineErr
+	}
+	return httpResponse, checkHead(httpResponse)
+}
+
 // HTTP returns the underlying HTTP response, whose body the caller may read.
 func (response *Response) HTTP() *http.Response { return response.httpResponse }
 
-// ReadAll returns the whole body, or an error if it is longer than the limit in bytes.
+// ReadAll returns the whole body, or an error if it is longer than the limit in bytes or may not be whole.
 func (response *Response) ReadAll(limit int64) ([]byte, error) {
 	body, err := readBody(response.httpResponse.Body, limit, &response.connector.buffers)
-	response.complete = err == nil
-	return body, err
+	if err != nil {
+		return nil, err
+	}
+	if response.CloseDelimited() && isChunked(body) {
+		return nil, errChunksWithoutHeader
+	}
+	if err := response.MarkComplete(); err != nil {
+		return nil, err
+	}
+	return body, nil
 }
 
 // Discard reads the rest of the body without keeping it, and returns an error if it is long.
@@ -154,12 +176,18 @@
 	return eris.Wrapf(err, "discard the rest of a response after %d bytes", n)
 }
 
-// MarkComplete records that the body was read to its end, which Finish requires to keep the connection.
-func (response *Response) MarkComplete() { response.complete = true }
+// MarkComplete records that the body was read to its end, which Finish requires to keep the connection; it returns an error if the body may not be whole.
+func (response *Response) MarkComplete() error {
+	if err := response.checkEnd(); err != nil {
+		return err
+	}
+	response.complete = true
+	return nil
+}
 
 // CloseDelimited returns whether the body has no stated length and ends where the connection is closed.
 func (response *Response) CloseDelimited() bool {
-	return response.httpResponse.ContentLength < 0 && len(response.httpResponse.TransferEncoding) == 0
+	return response.httpResponse.ContentLength < 0 && len(response.httpResponse.TransferEncoding) == 0 && response.httpResponse.Body != http.NoBody
 }
 
 // Finish keeps the connection for later requests if both bodies were transferred completely, and closes it otherwise.
--- /dev/null
+++ b/connector/framing.go
@@ -0,0 +1,126 @@
+package connector
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httputil"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxHeadBytes bounds the status and headers of a response.
+const maxHeadBytes = 64 << 10
+
+var (
+	errHeadTooLong = eris.Errorf("status and headers of a response are longer than %d bytes", maxHeadBytes)
+	// errBareLineFeed means that a line of a head ends without a carriage return: a wrong byte may have ended the head, or moved a header into the body.
+	errBareLineFeed = eris.New("a line of a response's head ends with a line feed alone")
+	// errBodyNotAllowed means that a response has a body that its status does not allow.
+	errBodyNotAllowed = eris.New("a response without a body states the length of one")
+	// errUnexpectedTrailer means that trailers follow the body that no header announced: they may be the rest of a body with a wrong size of a chunk.
+	errUnexpectedTrailer = eris.New("trailers that were not announced follow the body of a response")
+	// errBytesAfterBody means that what follows the body is no response: it may be the rest of a body with a wrong length.
+	errBytesAfterBody = eris.New("bytes that are no response follow the body of a response")
+	// errChunksWithoutHeader means that a body which ends with its connection is one that was sent in chunks.
+	errChunksWithoutHeader = eris.New("a response without Transfer-Encoding has a chunked body")
+)
+
+// responsePrefix begins each response, as far as it can be told from a few bytes.
+var responsePrefix = []byte("HTTP/")
+
+// headReader reads from a connection and fails once a head is longer than maxHeadBytes; it also checks the line ends of the head.
+type headReader struct {
+	source io.Reader
+	left   int64
+	lines  lineEndChecker
+}
+
+// beginHead bounds what is read until endHead; buffered are the bytes that were read before.
+func (headReader *headReader) beginHead(buffered []byte) {
+	headReader.left = maxHeadBytes
+	headReader.lines = lineEndChecker{}
+	headReader.lines.check(buffered)
+}
+
+// endHead lifts the bound, as for a body, which has bounds of its own, and returns an error if a line of the head did not end as it must.
+func (headReader *headReader) endHead() error {
+	headReader.left = math.MaxInt64
+	if headReader.lines.bare {
+		return errBareLineFeed
+	}
+	return nil
+}
+
+// Read reads no more than the bound allows.
+func (headReader *headReader) Read(data []byte) (int, error) {
+	if headReader.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := headReader.source.Read(data[:min(int64(len(data)), headReader.left)])
+	headReader.left -= int64(n)
+	headReader.lines.check(data[:n])
+	return n, err
+}
+
+// lineEndChecker finds lines of a head that end with a line feed alone; its zero value is ready for the first byte of a head.
+type lineEndChecker struct {
+	// previous is the last byte, and length is the number of bytes of the current line, without its end.
+	previous byte
+	length   int
+	ended    bool
+	bare     bool
+}
+
+// check checks further bytes, up to the end of the head.
+func (lineEndChecker *lineEndChecker) check(data []byte) {
+	for _, one := range data {
+		if lineEndChecker.ended {
+			return
+		}
+		if one == '\n' {
+			lineEndChecker.bare = lineEndChecker.bare || lineEndChecker.previous != '\r'
+			lineEndChecker.ended = lineEndChecker.length == 0
+			lineEndChecker.length = 0
+		} else if one != '\r' {
+			lineEndChecker.length++
+		}
+		lineEndChecker.previous = one
+	}
+}
+
+// checkHead returns an error if a response states the length of a body that its status does not allow, so that the body would be taken for what follows.
+func checkHead(response *http.Response) error {
+	if response.StatusCode != http.StatusNoContent {
+		return nil
+	}
+	if length := response.Header.Get("Content-Length"); length != "" && length != "0" || len(response.TransferEncoding) > 0 {
+		return errBodyNotAllowed
+	}
+	return nil
+}
+
+// checkEnd returns an error if what follows a body that was read to its end shows that the body may end too early.
+func (response *Response) checkEnd() error {
+	if len(response.httpResponse.Trailer) > response.trailers {
+		return errUnexpectedTrailer
+	}
+	if response.CloseDelimited() {
+		return nil
+	}
+	following := response.connection.peek(len(responsePrefix))
+	if len(following) > 0 && !bytes.HasPrefix(responsePrefix, following) {
+		return errBytesAfterBody
+	}
+	return nil
+}
+
+// isChunked returns whether a whole body has the form of one that was sent in chunks.
+func isChunked(body []byte) bool {
+	if !bytes.HasSuffix(body, []byte("0\r\n\r\n")) {
+		return false
+	}
+	_, err := io.Copy(io.Discard, httputil.NewChunkedReader(bytes.NewReader(body)))
+	return err == nil
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -106,7 +106,9 @@
 		err := relay.copyEvents(response)
 		relay.flush()
 		if err == nil {
-			response.MarkComplete()
+			err = response.MarkComplete()
+		}
+		if err == nil {
 			response.Finish()
 			forwarder.servers.done(state, outcomeSucceeded)
 			forwarder.requests.RecordServed(exchange.service, []string{exchange.wholeRequest().ID})
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -46,8 +46,10 @@
 	t         *testing.T
 	forwarder *forwarder.Forwarder
 	front     *httptest.Server
-	servers   []*scriptserver.Server
-	view      cranberryward.View
+	// handler is the forwarder that serves the front.
+	handler atomic.Pointer[forwarder.Forwarder]
+	servers []*scriptserver.Server
+	view    cranberryward.View
 }
 
 // fixtureOptions are the options of the forwarders under test.
@@ -64,14 +66,24 @@
 func (fixture *fixture) useQuarantineStore(save func(ctx context.Context, quarantine cranberryward.Quarantine) (cranberryward.Quarantine, error)) {
 	options := fixtureOptions
 	options.SaveQuarantine = save
-	fixture.forwarder = forwarder.New(options)
-	fixture.front.Config.Handler = fixture.forwarder
+	fixture.use(forwarder.New(options))
+}
+
+// use replaces the forwarder.
+func (fixture *fixture) use(forwarder *forwarder.Forwarder) {
+	fixture.forwarder = forwarder
+	fixture.handler.Store(forwarder)
+}
+
+// forget replaces the forwarder by one that knows nothing of earlier requests.
+func (fixture *fixture) forget() {
+	fixture.use(forwarder.New(fixtureOptions))
+	fixture.forwarder.Configure(fixture.view)
 }
 
 func newFixture(t *testing.T, scripts ...script) *fixture {
 	fixture := &fixture{
-		t:         t,
-		forwarder: forwarder.New(fixtureOptions),
+		t: t,
 		view: cranberryward.View{
 			At:      2,
 			Servers: map[string]cranberryward.BackendServer{},
@@ -125,8 +137,10 @@
 			Slots:   4,
 		}
 	}
-	fixture.forwarder.Configure(fixture.view)
-	fixture.front = httptest.NewServer(fixture.forwarder)
+	fixture.forget()
+	fixture.front = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		fixture.handler.Load().ServeHTTP(writer, request)
+	}))
 	t.Cleanup(fixture.front.Close)
 	return fixture
 }
