--- a/cranberryward/prover/overload_test.go
+++ b/cranberryward/prover/overload_test.go
@@ -14,7 +14,20 @@
 
 const crashMarker = "POISON"
 
+// TestCrashingRequestIsQuarantined guards against a request that crashes backend servers again and again, as it begins to run or after a part of its response.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
+	for name, tokens := range map[string]int{
+		"as it begins to run":          0,
+		"after its first token":        1,
+		"within its response":          3,
+		"before its response is whole": 4,
+	} {
+		t.Run(name, func(t *testing.T) { testCrashingRequest(t, tokens) })
+	}
+}
+
+// testCrashingRequest sends a request of five tokens that crashes a backend server after some of them, beside others.
+func testCrashingRequest(t *testing.T, tokens int) {
 	fleet := newFleet(t, fleetOptions{
 		zones:          2,
 		entriesPerZone: 2,
@@ -23,8 +36,9 @@
 	const maxCrashes = 2
 	for _, engine := range fleet.engines {
 		fleet.setFaults(engine.backend, engineserver.Faults{
-			CrashMarker: crashMarker,
-			RestartMS:   300,
+			CrashMarker:      crashMarker,
+			CrashAfterTokens: tokens,
+			RestartMS:        300,
 		})
 	}
 	awaitOtherStreams := fleet.startStreams(24, 200, map[string]string{cranberryward.HeaderDeadline: "20s"})
--- a/forwarder/crash_suspects.go
+++ b/forwarder/crash_suspects.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -14,15 +14,8 @@
 	"github.com/go-kit/log/level"
 )
 
-const (
-	// crashCheckDelay is the time between the loss of a connection and the check whether the backend server is down: the connections of a process that
-	// ends are closed in any order.
-	crashCheckDelay = 10 * time.Millisecond
-	// crashCheckTimeout bounds that check; a backend server that is down, and whose instance is not, refuses connections within a few milliseconds.
-	crashCheckTimeout = 150 * time.Millisecond
-	// probeTimeout bounds the wait for the store's permission to probe a part.
-	probeTimeout = 500 * time.Millisecond
-)
+// probeTimeout bounds the wait for the store's permission to probe a part.
+const probeTimeout = 500 * time.Millisecond
 
 // quarantines returns the verdicts on the shared parts of a request's prompt and on the request as a whole that do not allow to send it.
 func (forwarder *Forwarder) quarantines(exchange *exchange) (blocking []quarantiner.PartVerdict) {
@@ -100,33 +93,75 @@
 	forwarder.parts.RecordServed(exchange.service, exchange.metadata.PromptParts)
 }
 
-// recordBreak charges a send that broke off before any event arrived to its request and, if the backend server has crashed, to the shared parts of its prompt,
-// unless the caller or the deadline ended the send; begun is whether the response had begun.
-func (forwarder *Forwarder) recordBreak(exchange *exchange, server cranberryward.BackendServer, begun bool) {
-	if exchange.ctx.Err() != nil {
+// answerProgress is how much of an answer had arrived when its send broke off.
+type answerProgress int
+
+const (
+	// answerMissing means that nothing had arrived.
+	answerMissing answerProgress = iota
+	// answerBegun means that the head or a part of the body had arrived, but no event of a stream.
+	answerBegun
+	// answerStreamed means that events of a stream had arrived.
+	answerStreamed
+	// answerStalled means that events had arrived, but none for a while before the end, as when another rank of the group was lost.
+	answerStalled
+)
+
+// sendBreak is how a send broke off.
+type sendBreak struct {
+	err      error
+	progress answerProgress
+}
+
+// local returns whether this entry ended the send itself, because its caller left or its time was over.
+func (sendBreak sendBreak) local() bool {
+	return errors.Is(sendBreak.err, net.ErrClosed) || errors.Is(sendBreak.err, os.ErrDeadlineExceeded) || errors.Is(sendBreak.err, errCallerGone)
+}
+
+// recordBreak charges a send that broke off to its request and, if the backend server has crashed, to the shared parts of its prompt. Each send that may have run and
+// has no complete answer comes here, however much of the answer had arrived.
+func (forwarder *Forwarder) recordBreak(exchange *exchange, server cranberryward.BackendServer, sendBreak sendBreak) {
+	held := heldRequest{
+		part:   exchange.wholeRequest(),
+		id:     exchange.metadata.ID,
+		sentAt: exchange.sentAt,
+	}
+	if sendBreak.local() {
+		forwarder.abandoned.record(server.ID, abandonedSend{
+			heldRequest: held,
+			leftAt:      time.Now(),
+		})
 		return
 	}
-	forwarder.recordLateBreak(exchange, server)
-	// A caller that leaves now does not undo the crash.
-	if !refusesConnections(context.WithoutCancel(exchange.ctx), server.Address) {
+	if exchange.ctx.Err() == nil && sendBreak.progress != answerStalled {
+		forwarder.requests.RecordBreak(held.part, server.ID, held.sentAt, false)
+	}
+	if !forwarder.crashChecks.down(server.Address) {
 		return
 	}
-	request := exchange.wholeRequest()
-	forwarder.requests.RecordBreak(request, server.ID, exchange.sentAt, true)
-	quarantined := forwarder.requests.Check(request.Service, []string{request.ID}).Blocked()
-	meter.CountRequestCrash(quarantined)
-	_ = level.Info(forwarder.options.Logger).Log("event", "request_suspected", "service", request.Service, "fingerprint", exchange.fingerprint(),
-		"request", exchange.metadata.ID, "backend_server", server.ID, "begun", begun, "quarantined", quarantined)
-	forwarder.recordPartCrash(exchange, server, begun)
+	forwarder.recordDown(server)
+	forwarder.recordRequestCrash(held, server, sendBreak.progress)
+	if sendBreak.progress < answerStreamed {
+		forwarder.recordPartCrash(exchange, server, sendBreak.progress == answerBegun)
+	}
 }
 
-// recordLateBreak charges a send that broke off after events had arrived to its request, unless the caller or the deadline ended the send.
-func (forwarder *Forwarder) recordLateBreak(exchange *exchange, server cranberryward.BackendServer) {
-	if exchange.ctx.Err() == nil {
-		forwarder.requests.RecordBreak(exchange.wholeRequest(), server.ID, exchange.sentAt, false)
+// recordDown charges the crash of a backend server to the requests that it may still have run although their callers had left.
+func (forwarder *Forwarder) recordDown(server cranberryward.BackendServer) {
+	for _, send := range forwarder.abandoned.take(server.ID, time.Now()) {
+		forwarder.recordRequestCrash(send.heldRequest, server, answerMissing)
 	}
 }
 
+// recordRequestCrash charges the crash of a backend server to a request that it held.
+func (forwarder *Forwarder) recordRequestCrash(held heldRequest, server cranberryward.BackendServer, progress answerProgress) {
+	forwarder.requests.RecordBreak(held.part, server.ID, held.sentAt, true)
+	quarantined := forwarder.requests.Check(held.part.Service, []string{held.part.ID}).Blocked()
+	meter.CountRequestCrash(quarantined)
+	_ = level.Info(forwarder.options.Logger).Log("event", "request_suspected", "service", held.part.Service, "fingerprint", held.part.Fingerprint(),
+		"request", held.id, "backend_server", server.ID, "begun", progress != answerMissing, "streamed", progress >= answerStreamed, "quarantined", quarantined)
+}
+
 // recordPartCrash charges a crash to the shared parts of a request's prompt.
 func (forwarder *Forwarder) recordPartCrash(exchange *exchange, server cranberryward.BackendServer, begun bool) {
 	shared := exchange.metadata.SharedParts()
@@ -142,22 +177,6 @@
 	}
 }
 
-// refusesConnections returns whether the instance at an address answers and no process listens there, as after a crash.
-func refusesConnections(ctx context.Context, address string) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(crashCheckDelay):
-	}
-	dialer := net.Dialer{Timeout: crashCheckTimeout}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = connection.Close() // nothing was sent on it
-	return false
-}
-
 // PartReports returns what this entry has to report to the others on prompt parts and requests that may crash backend servers.
 func (forwarder *Forwarder) PartReports() []cranberryward.PartReport {
 	return slices.Concat(forwarder.requests.Reports(), forwarder.parts.Reports())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -45,6 +45,8 @@
 	stallDetector stallDetector
 	parts         quarantiner.PartTracker
 	requests      quarantiner.RequestTracker
+	crashChecks   crashChecks
+	abandoned     abandonedSends
 	stopping      atomic.Bool
 	// stopBy is when a stopping process ends, in Unix nanoseconds.
 	stopBy     atomic.Int64
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cranberryward/cranberryward"
@@ -107,7 +109,7 @@
 	forwarder.servers.recordLoad(state, metadata.Load)
 	forwarder.recordRequestLimit(state, metadata.RequestLimit, exchange.sentAt)
 	if metadata.NotRun {
-		forwarder.discardBody(response)
+		_ = forwarder.discardBody(response) // the request has not run, however the rest of the refusal ends
 		forwarder.servers.done(state, outcomeRefused)
 		return false, nil, "refused_by_backend_server"
 	}
@@ -117,11 +119,17 @@
 		return forwarder.stream(writer, exchange, state, response), nil, "stream_broken"
 	}
 	body, err := response.ReadAll(maxResponseBytes)
+	if err == nil && response.CloseDelimited() && forwarder.crashChecks.down(state.server.Address) {
+		err = errServerEnded
+	}
 	if err != nil {
 		response.Abort()
 		forwarder.requestLog.recordBreak(exchange, state.server, 0, err)
 		forwarder.servers.done(state, forwarder.failureOutcome(exchange))
-		forwarder.recordBreak(exchange, state.server, true)
+		forwarder.recordBreak(exchange, state.server, sendBreak{
+			err:      err,
+			progress: answerBegun,
+		})
 		return false, nil, "answer_broken"
 	}
 	response.Finish()
@@ -154,7 +162,9 @@
 	}
 	forwarder.servers.done(state, forwarder.failureOutcome(exchange))
 	if verdict != cranberryward.NotRun {
-		forwarder.recordBreak(exchange, state.server, false)
+		forwarder.recordBreak(exchange, state.server, sendBreak{err: err})
+	} else if errors.Is(err, syscall.ECONNREFUSED) {
+		forwarder.recordDown(state.server)
 	}
 }
 
@@ -166,13 +176,14 @@
 	return outcomeUnreachable
 }
 
-// discardBody reads the rest of a response that is not needed, so that its connection can be reused.
-func (forwarder *Forwarder) discardBody(response *connector.Response) {
+// discardBody reads the rest of a response that is not needed, so that its connection can be reused, and returns an error if it broke off.
+func (forwarder *Forwarder) discardBody(response *connector.Response) error {
 	if err := response.Discard(); err != nil {
 		response.Abort()
-		return
+		return err
 	}
 	response.Finish()
+	return nil
 }
 
 // send sends the request to one backend server, with the time that is left until its deadline.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/connector"
 	"github.com/cranberryward/cranberryward/platform"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -19,6 +20,9 @@
 	maxResumes = 3
 )
 
+// errCallerGone means that a part of a stream could not be written to its caller.
+var errCallerGone = eris.New("the caller of a stream takes no more events")
+
 // relay copies the events of one stream to its caller, from one backend server and then from those that resume the stream.
 type relay struct {
 	writer     http.ResponseWriter
@@ -106,32 +110,24 @@
 		err := relay.copyEvents(response)
 		relay.flush()
 		if err == nil {
-			err = response.MarkComplete()
+			err = forwarder.finishStream(exchange, state, response)
 		}
 		if err == nil {
-			response.Finish()
-			forwarder.servers.done(state, outcomeSucceeded)
-			forwarder.requests.RecordServed(exchange.service, []string{exchange.wholeRequest().ID})
-			forwarder.servers.recordDuration(exchange.service, time.Since(exchange.arrived))
 			forwarder.requestLog.recordStream(exchange, relay)
 			return true
 		}
+		brokenAt := time.Now()
 		response.Abort()
 		forwarder.requestLog.recordBreak(exchange, state.server, relay.events, err)
 		forwarder.servers.done(state, forwarder.failureOutcome(exchange))
-		switch {
-		case relay.events == 0:
-			forwarder.recordBreak(exchange, state.server, true)
-		case !relay.stalled(exchange):
-			forwarder.recordLateBreak(exchange, state.server)
-		}
+		forwarder.recordBreak(exchange, state.server, relay.breakOf(exchange, err))
 		if !relay.headerSent {
 			return false
 		}
 		if !relay.sequence.resumable() {
 			break
 		}
-		if state, response = forwarder.resume(exchange, relay); response == nil {
+		if state, response = forwarder.resume(exchange, relay, brokenAt); response == nil {
 			break
 		}
 	}
@@ -139,13 +135,43 @@
 	panic(http.ErrAbortHandler)
 }
 
-// resume asks backend servers to continue the stream after the last event that the caller got, and returns nil if none does.
-func (forwarder *Forwarder) resume(exchange *exchange, relay *relay) (*serverState, *connector.Response) {
-	for exchange.route.Resumable {
+// finishStream records the end of a stream whose events have all been copied, or returns an error if the stream may not be whole.
+func (forwarder *Forwarder) finishStream(exchange *exchange, state *serverState, response *connector.Response) error {
+	if err := response.MarkComplete(); err != nil {
+		return err
+	}
+	if response.CloseDelimited() && forwarder.crashChecks.down(state.server.Address) {
+		return errServerEnded
+	}
+	response.Finish()
+	forwarder.servers.done(state, outcomeSucceeded)
+	forwarder.requests.RecordServed(exchange.service, []string{exchange.wholeRequest().ID})
+	forwarder.servers.recordDuration(exchange.service, time.Since(exchange.arrived))
+	return nil
+}
+
+// breakOf returns how much of its answer a send that broke off had brought.
+func (relay *relay) breakOf(exchange *exchange, err error) sendBreak {
+	sendBreak := sendBreak{
+		err:      err,
+		progress: answerBegun,
+	}
+	switch {
+	case relay.events > 0 && relay.stalled(exchange):
+		sendBreak.progress = answerStalled
+	case relay.events > 0:
+		sendBreak.progress = answerStreamed
+	}
+	return sendBreak
+}
+
+// resume asks backend servers to continue the stream, which broke off at a time, after the last event that the caller got, and returns nil if none does.
+func (forwarder *Forwarder) resume(exchange *exchange, relay *relay, brokenAt time.Time) (*serverState, *connector.Response) {
+	for ; exchange.route.Resumable; brokenAt = time.Now() {
 		select {
 		case <-exchange.ctx.Done():
 			return nil, nil
-		case <-time.After(resumeDelay):
+		case <-time.After(time.Until(brokenAt.Add(resumeDelay))):
 		}
 		if !forwarder.groups.awaitOpen(exchange.ctx, exchange.service, maxResumeWait) {
 			return nil, nil
@@ -184,8 +210,14 @@
 			outcome = outcomeFailed
 			exchange.recordVerdict(state.server.ID, cranberryward.Ran)
 		}
-		forwarder.discardBody(response)
+		err = forwarder.discardBody(response)
 		forwarder.servers.done(state, outcome)
+		if err != nil && !metadata.NotRun {
+			forwarder.recordBreak(exchange, state.server, sendBreak{
+				err:      err,
+				progress: answerBegun,
+			})
+		}
 	}
 	return nil, nil
 }
@@ -245,7 +277,7 @@
 // write writes to the caller.
 func (relay *relay) write(text []byte) error {
 	if _, err := relay.writer.Write(text); err != nil {
-		return err
+		return eris.Wrap(errCallerGone, err.Error())
 	}
 	return nil
 }
--- a/gateway/entry/retry_test.go
+++ b/gateway/entry/retry_test.go
@@ -228,3 +228,21 @@
 		t.Errorf("%d crashes are recorded after an answer with status 413, expected 1", count)
 	}
 }
+
+// awaitDown waits until no process listens at an address.
+func awaitDown(t *testing.T, address string) {
+	t.Helper()
+	deadline := time.After(waitTimeout)
+	for {
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = connection.Close() // the next attempt makes another one
+		select {
+		case <-deadline:
+			t.Fatalf("%s still accepts connections", address)
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/gateway/soaker/backend_test.go
+++ b/gateway/soaker/backend_test.go
@@ -48,6 +48,11 @@
 	case strings.HasSuffix(request.URL.Path, crashingPath):
 		deployment.checker.recordRepeat()
 		flusher.Flush()
+		for number := range deployment.writtenBeforeCrash.Load() {
+			fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", from+int(number)+1, id, number)
+			flusher.Flush()
+			deployment.awaitPass(request)
+		}
 		deployment.crashRank(rank, deployment.checker.recordRepeatCrash)
 		panic(http.ErrAbortHandler)
 	case deployment.crashes(request):
@@ -102,6 +107,12 @@
 		return
 	}
 	app.deployment.checker.recordRun(id)
+	if written := app.deployment.writtenBeforeCrash.Load(); written > 0 && strings.HasSuffix(request.URL.Path, crashingPath) {
+		sign(writer, id)
+		writer.Header().Set("Content-Length", fmt.Sprint(2*written))
+		fmt.Fprint(writer, strings.Repeat("x", int(written)))
+		_ = http.NewResponseController(writer).Flush() // the crash that follows breaks the answer off in any case
+	}
 	if app.crashes(request) {
 		panic(http.ErrAbortHandler)
 	}
--- a/gateway/soaker/crashing_request_test.go
+++ b/gateway/soaker/crashing_request_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -85,26 +86,32 @@
 // servers; and against refusing other requests of the same service.
 func TestCrashingRequestIsKeptAway(t *testing.T) {
 	for _, test := range []struct {
-		name    string
-		kind    kind
+		name string
+		kind kind
+		// written is how much of the answer is written before the crash: bytes of a plain answer, or events of a stream.
+		written int64
 		disturb func(ctx context.Context, deployment *deployment)
 	}{
-		{"a lookup", lookup, func(context.Context, *deployment) {}},
-		{"a booking", booking, func(context.Context, *deployment) {}},
-		{"a stream", stream, func(context.Context, *deployment) {}},
-		{"a lookup while entries restart", lookup, restartEntries(syscall.SIGTERM)},
-		{"a lookup while entries are killed", lookup, restartEntries(syscall.SIGKILL)},
-		{"a lookup while all entries are killed at once", lookup, killAllEntries},
-		{"a lookup while entries freeze", lookup, freezeEntries},
-		{"a stream while the store is out and entries are killed", stream, func(ctx context.Context, deployment *deployment) {
+		{"a lookup", lookup, 0, func(context.Context, *deployment) {}},
+		{"a booking", booking, 0, func(context.Context, *deployment) {}},
+		{"a stream", stream, 0, func(context.Context, *deployment) {}},
+		{"a lookup while entries restart", lookup, 0, restartEntries(syscall.SIGTERM)},
+		{"a lookup while entries are killed", lookup, 0, restartEntries(syscall.SIGKILL)},
+		{"a lookup while all entries are killed at once", lookup, 0, killAllEntries},
+		{"a lookup while entries freeze", lookup, 0, freezeEntries},
+		{"a stream while the store is out and entries are killed", stream, 0, func(ctx context.Context, deployment *deployment) {
 			deployment.store.SetFault(func(*http.Request) storeserver.Fault { return storeserver.FaultUnavailable })
 			defer deployment.store.SetFault(nil)
 			restartEntries(syscall.SIGKILL)(ctx, deployment)
 		}},
+		{"a lookup that crashes within its answer", lookup, 4, func(context.Context, *deployment) {}},
+		{"a booking that crashes within its answer, while entries restart", booking, 4, restartEntries(syscall.SIGTERM)},
+		{"a stream that crashes after its first event", stream, 1, func(context.Context, *deployment) {}},
+		{"a stream that crashes after some events, while entries are killed", stream, 3, restartEntries(syscall.SIGKILL)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			testCrashingRequest(t, test.kind, test.disturb)
+			testCrashingRequest(t, test.kind, test.written, test.disturb)
 		})
 	}
 }
@@ -138,8 +145,9 @@
 	}
 }
 
-func testCrashingRequest(t *testing.T, kind kind, disturb func(ctx context.Context, deployment *deployment)) {
+func testCrashingRequest(t *testing.T, kind kind, written int64, disturb func(ctx context.Context, deployment *deployment)) {
 	deployment := newDeployment(t, 3, 4, 3)
+	deployment.writtenBeforeCrash.Store(written)
 	deployment.awaitAllServing()
 	ctx, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -206,6 +214,9 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		deployment.checker.recordRefused(id)
 	case http.StatusOK:
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return // the answer broke off
+		}
 		deployment.checker.report("%s, which crashes its backend server, was answered with status 200", id)
 	}
 }
--- a/gateway/soaker/deployment_test.go
+++ b/gateway/soaker/deployment_test.go
@@ -60,8 +60,10 @@
 	group        *rankserver.Group
 	// broken is whether the group has lost a rank.
 	broken atomic.Bool
-	apps   []*app
-	ranks  []*backendHost
+	// writtenBeforeCrash is how much of its answer a backend server writes before a request crashes it: bytes of a plain answer, or events of a stream.
+	writtenBeforeCrash atomic.Int64
+	apps               []*app
+	ranks              []*backendHost
 	// limits holds the limits that backend servers name, and counts their arrivals.
 	limits requestLimits
 	// crashingPart is the prompt part that crashes each rank that begins to write an answer on it, or empty.
--- a/gateway/soaker/soak_test.go
+++ b/gateway/soaker/soak_test.go
@@ -38,9 +38,13 @@
 	}
 }
 
+// writtenVariants is the number of moments at which a request crashes its backend server in the soaks, from before its answer on.
+const writtenVariants = 4
+
 func soak(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	deployment := newDeployment(t, environmentInt(t, "SOAK_ENTRIES", 3), environmentInt(t, "SOAK_RANKS", 4), 3)
+	deployment.writtenBeforeCrash.Store(int64(seed % writtenVariants))
 	deployment.awaitAllServing()
 	ctx, stopCallers := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
--- a/message_quarantine.go
+++ b/message_quarantine.go
@@ -28,6 +28,15 @@
 	return strings.HasPrefix(promptPart.ID, wholeRequestPrefix)
 }
 
+// Fingerprint returns the fingerprint of the requests that the part stands for, or an empty text for a part of prompts.
+func (promptPart PromptPart) Fingerprint() string {
+	fingerprint, found := strings.CutPrefix(promptPart.ID, wholeRequestPrefix)
+	if !found {
+		return ""
+	}
+	return fingerprint
+}
+
 // PartCrash is a crash of a backend server while it held a request with a prompt part.
 type PartCrash struct {
 	Server string `json:"server"`
--- a/standin/engineserver/message.go
+++ b/standin/engineserver/message.go
@@ -2,16 +2,18 @@
 
 // Faults are the faults to inject into one rank.
 type Faults struct {
-	Stalled       bool    `json:"stalled"`
-	Dead          bool    `json:"dead"`
-	CrashMarker   string  `json:"crash_marker,omitempty"`
-	RestartMS     int64   `json:"restart_ms"`
-	IgnoreFencing bool    `json:"ignore_fencing"`
-	EventLagMS    int64   `json:"event_lag_ms"`
-	EventLoss     float64 `json:"event_loss"`
-	LoadLagMS     int64   `json:"load_lag_ms"`
-	CutAfter      int     `json:"cut_after"`
-	RefuseOrders  bool    `json:"refuse_orders"`
+	Stalled     bool   `json:"stalled"`
+	Dead        bool   `json:"dead"`
+	CrashMarker string `json:"crash_marker,omitempty"`
+	// CrashAfterTokens is how many tokens of its response a request with the crash marker gets before it crashes the rank.
+	CrashAfterTokens int     `json:"crash_after_tokens,omitempty"`
+	RestartMS        int64   `json:"restart_ms"`
+	IgnoreFencing    bool    `json:"ignore_fencing"`
+	EventLagMS       int64   `json:"event_lag_ms"`
+	EventLoss        float64 `json:"event_loss"`
+	LoadLagMS        int64   `json:"load_lag_ms"`
+	CutAfter         int     `json:"cut_after"`
+	RefuseOrders     bool    `json:"refuse_orders"`
 }
 
 // Settings configure a group.
--- a/standin/engineserver/rank.go
+++ b/standin/engineserver/rank.go
@@ -188,6 +188,9 @@
 			kept = append(kept, stream)
 		}
 	}
+	if rank.faults.Dead {
+		return // a request has crashed the rank, which has lost all of them
+	}
 	rank.running = kept
 	rank.updateLoad(false)
 }
@@ -216,10 +219,18 @@
 	stream.prefillSteps = uncached / max(rank.group.settings.PrefillBytes, 1)
 	rank.running = append(rank.running, stream)
 	rank.executions = append(rank.executions, stream)
-	if marker := rank.faults.CrashMarker; marker != "" && strings.Contains(stream.request.Prompt, marker) {
-		stream.crashed = true
-		rank.crash()
+	rank.crashAt(stream)
+}
+
+// crashAt crashes the rank if the request has the crash marker and its response has as many tokens as the fault says, and returns whether it does.
+func (rank *Rank) crashAt(stream *stream) bool {
+	marker := rank.faults.CrashMarker
+	if marker == "" || !strings.Contains(stream.request.Prompt, marker) || stream.emittedTokens < rank.faults.CrashAfterTokens {
+		return false
 	}
+	stream.crashed = true
+	rank.crash()
+	return true
 }
 
 func (rank *Rank) crash() {
@@ -243,6 +254,9 @@
 		return true
 	}
 	stream.emitToken()
+	if rank.faults.CrashAfterTokens > 0 && rank.crashAt(stream) {
+		return false
+	}
 	return stream.end == nil
 }
 
