--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -10,6 +11,9 @@
 	"github.com/cranberryward/cranberryward"
 )
 
+// maxFrameBytes bounds a frame of a streamed response, of which a resumed one may hold the whole text so far.
+const maxFrameBytes = 1 << 20
+
 // Engine is a client of one rank of a model engine group.
 type Engine struct {
 	jsonClient jsonClient
@@ -49,10 +53,15 @@
 	if response.StatusCode != http.StatusOK {
 		return ReadFailure(response)
 	}
-	decoder := json.NewDecoder(response.Body)
+	body := &io.LimitedReader{R: response.Body}
+	decoder := json.NewDecoder(body)
 	for {
+		body.N = maxFrameBytes
 		var frame cranberryward.Frame
 		if err := decoder.Decode(&frame); err != nil {
+			if body.N <= 0 {
+				return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonResponseBroken, "a frame is longer than "+strconv.Itoa(maxFrameBytes)+" bytes")
+			}
 			return TransportFailure(ctx, err)
 		}
 		if frame.Error != nil {
