--- a/dialer/http.go
+++ b/dialer/http.go
@@ -56,14 +56,20 @@
 	if errors.As(err, &opError) && opError.Op == "dial" {
 		verdict = cranberryward.NotRun
 	}
-	reason := cranberryward.ReasonUnreachable
+	reason := transportReason(ctx, err)
+	return cranberryward.NewFailure(verdict, reason, "HTTP request failed: "+string(reason)).WithCause(err)
+}
+
+// transportReason returns the reason for which a round trip failed.
+func transportReason(ctx context.Context, err error) cranberryward.Reason {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		reason = cranberryward.ReasonCanceled
+		return cranberryward.ReasonCanceled
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = cranberryward.ReasonDeadline
+		return cranberryward.ReasonDeadline
+	default:
+		return cranberryward.ReasonUnreachable
 	}
-	return cranberryward.NewFailure(verdict, reason, "HTTP request failed: "+string(reason)).WithCause(err)
 }
 
 type jsonClient struct {
