--- a/gateway/soaker/backend_test.go
+++ b/gateway/soaker/backend_test.go
@@ -62,7 +62,11 @@
 	}
 	for number := from + 1; number <= streamEvents; number++ {
 		deployment.awaitPass(request)
-		fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", number, id, number)
+		written := number
+		if rand.Int64N(100) < deployment.wrongIDs.Load() {
+			written = rand.IntN(2 * streamEvents)
+		}
+		fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", written, id, number)
 		flusher.Flush()
 	}
 }
--- a/gateway/soaker/deployment_test.go
+++ b/gateway/soaker/deployment_test.go
@@ -66,6 +66,8 @@
 	ranks              []*backendHost
 	// limits holds the limits that backend servers name, and counts their arrivals.
 	limits requestLimits
+	// wrongIDs is the percentage of events that ranks send with a wrong ID.
+	wrongIDs atomic.Int64
 	// crashingPart is the prompt part that crashes each rank that begins to write an answer on it, or empty.
 	crashingPart atomic.Value
 	entries      []*process
--- a/gateway/soaker/fault_test.go
+++ b/gateway/soaker/fault_test.go
@@ -181,6 +181,10 @@
 		{"responses reset", share(func(app *app, share int64) { app.resets.Store(share) })},
 		{"requests refused", share(func(app *app, share int64) { app.refuses.Store(share) })},
 		{"requests fail", share(func(app *app, share int64) { app.fails.Store(share) })},
+		{"wrong IDs of events", func(random *rand.Rand) func() {
+			deployment.wrongIDs.Store(1 + random.Int64N(maxWrongIDs))
+			return func() { deployment.wrongIDs.Store(0) }
+		}},
 		{"backend server leaves", func(random *rand.Rand) func() {
 			number := random.IntN(len(deployment.apps))
 			id := fmt.Sprintf("app-%d", number)
@@ -193,6 +197,9 @@
 	}
 }
 
+// maxWrongIDs is the largest percentage of events with a wrong ID.
+const maxWrongIDs = 5
+
 func (deployment *deployment) operatorFaults() []fault {
 	return []fault{
 		{"configuration changes", func(*rand.Rand) func() {
