--- a/connector/bounded_reader.go
+++ b/connector/bounded_reader.go
@@ -12,6 +12,8 @@
 	maxDiscardedBytes = 256 << 10
 	// readChunk is the step in which a body is read and counted.
 	readChunk = 32 << 10
+	// smallBodyDivisor is the divisor of the memory for bodies that gives the part in which only the first chunk of each body finds room.
+	smallBodyDivisor = 8
 )
 
 var (
@@ -26,9 +28,13 @@
 	used  atomic.Int64
 }
 
-// take returns whether so many bytes more may be used.
-func (bufferBudget *bufferBudget) take(bytes int64) bool {
-	if used := bufferBudget.used.Add(bytes); bufferBudget.limit > 0 && used > bufferBudget.limit {
+// take returns whether so many bytes more may be used; first is whether they are the first of a body.
+func (bufferBudget *bufferBudget) take(bytes int64, first bool) bool {
+	limit := bufferBudget.limit
+	if !first {
+		limit -= limit / smallBodyDivisor
+	}
+	if used := bufferBudget.used.Add(bytes); limit > 0 && used > limit {
 		bufferBudget.used.Add(-bytes)
 		return false
 	}
@@ -46,7 +52,7 @@
 		if int64(len(read)) > limit {
 			return nil, eris.Wrapf(errBodyTooLong, "%d bytes are allowed", limit)
 		}
-		if !budget.take(readChunk) {
+		if !budget.take(readChunk, len(read) == 0) {
 			return nil, eris.Wrapf(errBuffersFull, "after %d bytes", len(read))
 		}
 		taken += readChunk
--- a/connector/framing.go
+++ b/connector/framing.go
@@ -1,11 +1,12 @@
 package connector
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"math"
 	"net/http"
-	"net/http/httputil"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -116,11 +117,18 @@
 	return nil
 }
 
+// chunkedHead begins a response whose body is sent in chunks.
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // isChunked returns whether a whole body has the form of one that was sent in chunks.
 func isChunked(body []byte) bool {
 	if !bytes.HasSuffix(body, []byte("0\r\n\r\n")) {
 		return false
 	}
-	_, err := io.Copy(io.Discard, httputil.NewChunkedReader(bytes.NewReader(body)))
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader(chunkedHead), bytes.NewReader(body))), nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil
 }
--- a/forwarder/event.go
+++ b/forwarder/event.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxEventBytes bounds an event, and the comments before the first event of a stream.
+	// maxEventBytes bounds an event, and the comments and blank lines that are held until the next one.
 	maxEventBytes = 256 << 10
 	// eventBufferSize is the size of the reads of a stream.
 	eventBufferSize = 4 << 10
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,11 +47,11 @@
 	crashChecks   crashChecks
 	abandoned     abandonedSends
 	stopper       stopper.Stopper
-	// ending ends when the requests in flight of a stopping process have to be answered, and end ends it.
-	ending     context.Context
-	end        context.CancelFunc
-	inFlight   atomic.Int64
-	requestLog requestLog
+	// stopCtx ends, by cancelRequests, when the requests in flight of a stopping process have to be answered.
+	stopCtx        context.Context
+	cancelRequests context.CancelFunc
+	inFlight       atomic.Int64
+	requestLog     requestLog
 }
 
 // New returns a forwarder that refuses all requests until Configure gives it a configuration.
@@ -71,7 +71,7 @@
 		requestLog: requestLog{logger: options.Logger},
 	}
 	forwarder.connector.LimitBuffers(options.BufferBytes)
-	forwarder.ending, forwarder.end = context.WithCancel(context.Background())
+	forwarder.stopCtx, forwarder.cancelRequests = context.WithCancel(context.Background())
 	return forwarder
 }
 
@@ -110,7 +110,7 @@
 // long one, and shortly before the end those in flight are answered.
 func (forwarder *Forwarder) Stop(by time.Time) {
 	forwarder.stopper.Begin(by)
-	time.AfterFunc(time.Until(by.Add(-stopper.AnswerTime)), forwarder.end)
+	time.AfterFunc(time.Until(by.Add(-stopper.AnswerTime)), forwarder.cancelRequests)
 }
 
 // SetRetryBudget sets the retries that operators allow all entries together within each window.
@@ -148,7 +148,7 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), exchange.deadline)
 	defer cancel()
-	defer context.AfterFunc(forwarder.ending, cancel)()
+	defer context.AfterFunc(forwarder.stopCtx, cancel)()
 	exchange.ctx = ctx
 	forwarder.budget.recordRequest(exchange.service)
 	forwarder.serve(writer, exchange)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -113,6 +113,7 @@
 			err = forwarder.finishStream(exchange, state, response)
 		}
 		if err == nil {
+			_ = relay.begin(response) // an error means that the caller has left
 			forwarder.requestLog.recordStream(exchange, relay)
 			return true
 		}
@@ -228,7 +229,7 @@
 	for {
 		event, err := reader.next()
 		if err == io.EOF {
-			return relay.begin(response)
+			return nil
 		}
 		if err != nil {
 			return err
--- a/gateway/entry/spoiled_answer_test.go
+++ b/gateway/entry/spoiled_answer_test.go
@@ -150,3 +150,13 @@
 		})
 	}
 }
+
+// TestEmptyStreamThatMayNotBeWholeIsSentAgain guards against beginning the answer to a caller with a stream whose first chunk got the size zero by a wrong byte.
+func TestEmptyStreamThatMayNotBeWholeIsSentAgain(t *testing.T) {
+	fixture := newFixture(t, sendsRaw(func(id string) string {
+		return scriptserver.ResponseHead(id, 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked") + "0\r\nid: 1\ndata: piece 1\n\n\r\n0\r\n\r\n"
+	}, false), resumes(4))
+	if status, body := fixture.send(fixture.request(http.MethodPost, "/stream/", "question")); status != 200 || body != events(0, 4) {
+		t.Errorf("response %d %q, expected %q", status, body, events(0, 4))
+	}
+}
--- a/listener/server.go
+++ b/listener/server.go
@@ -52,8 +52,8 @@
 	go func() { _ = server.server.Serve(server.listener) }()
 }
 
-// Stop closes the listener and waits for requests in progress until the context ends; shortly before, it ends their contexts, so that they are answered, and then closes the
-// remaining connections. It does nothing for a server that could not be created.
+// Stop closes the listener and waits for requests in progress until the context ends, shortly before which it ends their contexts, so that they are answered; it does
+// nothing for a server that could not be created.
 func (server *Server) Stop(ctx context.Context) error {
 	if server == nil {
 		return nil
