--- a/review/actors/stage.go
+++ b/review/actors/stage.go
@@ -7,12 +7,17 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cranberryward/cranberryward/standin/storeserver"
 )
 
+// maxCopiedLines bounds the lines of logs in the record.
+const maxCopiedLines = 12
+
 // readyTime bounds the wait for a process to report that it is ready.
 const readyTime = 15 * time.Second
 
@@ -121,3 +126,24 @@
 		"State":   "ready",
 	})
 }
+
+// copyLogs adds to the record the lines of the processes' logs that hold one of some events.
+func (stage *stage) copyLogs(role string, events ...string) {
+	paths, _ := filepath.Glob(filepath.Join(stage.directory, role+"-*.log")) // the pattern is valid
+	var lines []string
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			if slices.ContainsFunc(events, func(event string) bool { return strings.Contains(line, "event="+event+" ") }) {
+				lines = append(lines, strings.TrimSpace(line))
+			}
+		}
+	}
+	slices.Sort(lines) // by their times
+	for _, line := range lines[max(len(lines)-maxCopiedLines, 0):] {
+		stage.record("log: %s", line)
+	}
+}
