--- a/review/actors/main.go
+++ b/review/actors/main.go
@@ -18,6 +18,7 @@
 var plays = map[string]func(stage *stage) (broken bool, err error){
 	"heads": playHeads,
 	"maps":  playMaps,
+	"paths": playPaths,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
