--- a/review/actors/main.go
+++ b/review/actors/main.go
@@ -19,6 +19,7 @@
 	"heads": playHeads,
 	"maps":  playMaps,
 	"paths": playPaths,
+	"stop":  playStop,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
