--- a/review/actors/main.go
+++ b/review/actors/main.go
@@ -17,6 +17,7 @@
 // plays holds the function of each case; it returns whether the rule was broken.
 var plays = map[string]func(stage *stage) (broken bool, err error){
 	"heads": playHeads,
+	"late":  playLate,
 	"maps":  playMaps,
 	"paths": playPaths,
 	"stop":  playStop,
--- a/review/actors/maps.go
+++ b/review/actors/maps.go
@@ -160,15 +160,7 @@
 // startAgents starts the agent of the first rank, which becomes the controller, and then the others.
 func (stage *stage) startAgents(network *network) error {
 	for index := range ranks {
-		agent, err := stage.start("agent", index+1, map[string]any{
-			"address":     agentHost(index),
-			"rank":        net.JoinHostPort(agentHost(index), strconv.Itoa(localPort)),
-			"service":     "llm",
-			"zone":        fmt.Sprintf("zone-%d", zoneOf(index)),
-			"memory_mb":   agentMemoryMB,
-			"descriptors": agentDescriptors,
-			"link_mbps":   20,
-		})
+		agent, err := stage.start("agent", index+1, agentSettings(index))
 		if err != nil {
 			return err
 		}
@@ -182,6 +174,19 @@
 	return nil
 }
 
+// agentSettings returns the settings of the agent of a rank that differ from those of others.
+func agentSettings(index int) map[string]any {
+	return map[string]any{
+		"address":     agentHost(index),
+		"rank":        net.JoinHostPort(agentHost(index), strconv.Itoa(localPort)),
+		"service":     "llm",
+		"zone":        fmt.Sprintf("zone-%d", zoneOf(index)),
+		"memory_mb":   agentMemoryMB,
+		"descriptors": agentDescriptors,
+		"link_mbps":   20,
+	}
+}
+
 // awaitController waits until an agent holds the group's key.
 func (stage *stage) awaitController() error {
 	for until := time.Now().Add(readyTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
