--- a/review/actors/main.go
+++ b/review/actors/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -36,12 +38,7 @@
 		return exitFailed
 	}
 	defer stage.close()
-	timer := time.AfterFunc(playLimit, func() {
-		stage.record("the case did not end in time")
-		stage.close()
-		os.Exit(exitFailed)
-	})
-	defer timer.Stop()
+	go giveUp(stage)
 	broken, err := plays[arguments[0]](stage)
 	switch {
 	case err != nil:
@@ -54,3 +51,17 @@
 	stage.record("the rule held")
 	return exitHeld
 }
+
+// giveUp ends a play that does not end in time or is told to end.
+func giveUp(stage *stage) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case received := <-signals:
+		stage.record("the case was ended by %s", received)
+	case <-time.After(playLimit):
+		stage.record("the case did not end in time")
+	}
+	stage.close()
+	os.Exit(exitFailed)
+}
