Review: TROUBLE=0 does the same without the disruption

Case 9 then sends the same heads from the same callers, one after the other and with whole bodies. Case 7 kills the controller in place of stopping it, as a machine that stands still takes its rank with it. Case 10 has three entries, two of them stopped in turn, and the platform's rule for new connections. The processes end with the player, however that ends.

--- a/review/actors/heads.go
+++ b/review/actors/heads.go
@@ -18,6 +18,8 @@
 	// crowdSize is how many callers keep a request open, far fewer than the entry's descriptors, and crowdTime for how long.
 	crowdSize = 1400
 	crowdTime = 7 * time.Second
+	// calmCrowdPause is the pause between the callers of the crowd where they come one after the other, with whole bodies.
+	calmCrowdPause = 4 * time.Millisecond
 	// calmPause is the pause between the requests of an ordinary caller.
 	calmPause = 100 * time.Millisecond
 )
@@ -35,9 +37,7 @@
 	var wait sync.WaitGroup
 	stop := make(chan struct{})
 	wait.Go(func() { stage.callCalmly(entry.callers, stop) })
-	if stage.trouble {
-		stage.crowd(entry.callers, &wait)
-	}
+	stage.crowd(entry.callers, &wait)
 	peak := 0
 	for until := time.Now().Add(crowdTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		peak = max(peak, entry.peakMB())
@@ -108,13 +108,16 @@
 
 // crowd opens the connections of the crowd, which stay open until the time is over.
 func (stage *stage) crowd(address string, wait *sync.WaitGroup) {
-	stage.record("%d callers begin, each with a head of %d bytes (the limit is %d) with %d fields, and a chunked body that stops short of its end", crowdSize, len(crowdHead(0)), headLimit, strings.Count(crowdHead(0), "\r\n")-2)
-	until := time.Now().Add(crowdTime)
+	stage.record("%d callers begin, each with a head of %d bytes (the limit is %d) with %d fields, and a chunked body; it stops short of its end: %t", crowdSize, len(crowdHead(0)), headLimit, strings.Count(crowdHead(0), "\r\n")-2, stage.trouble)
+	until := time.Now().Add(crowdTime) // the callers of a calm crowd are answered before
 	var mutex sync.Mutex
 	answers := map[string]int{}
 	for number := range crowdSize {
+		if !stage.trouble {
+			time.Sleep(calmCrowdPause)
+		}
 		wait.Go(func() {
-			answer := keepOpen(address, number, until)
+			answer := keepOpen(address, number, until, stage.trouble)
 			mutex.Lock()
 			defer mutex.Unlock()
 			if answers[answer]++; answers[answer] == 1 {
@@ -124,14 +127,18 @@
 	}
 }
 
-// keepOpen sends a request whose body does not end, and returns what it got by the given time.
-func keepOpen(address string, number int, until time.Time) string {
+// keepOpen sends a request whose body may stop short of its end, and returns what it got by the given time.
+func keepOpen(address string, number int, until time.Time, short bool) string {
 	connection, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return "no connection"
 	}
 	defer func() { _ = connection.Close() }()
-	if _, err := io.WriteString(connection, crowdHead(number)+"5\r\nhello\r\n"); err != nil {
+	body := "5\r\nhello\r\n"
+	if !short {
+		body += "0\r\n\r\n"
+	}
+	if _, err := io.WriteString(connection, crowdHead(number)+body); err != nil {
 		return "a reset"
 	}
 	_ = connection.SetReadDeadline(until) // the read fails then
--- a/review/actors/late.go
+++ b/review/actors/late.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cranberryward/cranberryward/standin/rankserver"
@@ -20,8 +19,9 @@
 const (
 	// lateAfter is how late an order is carried out that gets no answer: the pages say 2 to 12 s.
 	lateAfter = 2100 * time.Millisecond
-	// freezeTime is how long the controller's machine stands still, as the site plays it.
-	freezeTime = 4 * time.Second
+	// restartTime is how long after its kill the controller's process starts again, and lateTrouble how long orders to disarm its rank get no answer.
+	restartTime = time.Second
+	lateTrouble = 4 * time.Second
 	// mapsBefore is how many maps have come into force before the first trouble.
 	mapsBefore = 5
 	// cycleTime is the time between two troubles.
@@ -37,13 +37,13 @@
 	mutex sync.Mutex
 	// armed is whether the next order to release the group begins the trouble.
 	armed bool
-	// frozen is the rank beside the controller while its orders get no answer, or negative.
-	frozen int
+	// silent is the rank beside the controller while orders to disarm it get no answer, or negative.
+	silent int
 	// orders counts the orders since the trouble began, and unanswered those without an answer.
 	orders, unanswered int
 }
 
-// playLate freezes a controller whose order to release the group is carried out late.
+// playLate kills a controller whose order to release the group is carried out late.
 func playLate(stage *stage) (broken bool, err error) {
 	late := &lateGroup{
 		stage: stage,
@@ -57,7 +57,7 @@
 			Copy:      copyTime,
 			Uncounted: true, // as the ranks of the users' bench
 		}),
-		frozen: -1,
+		silent: -1,
 	}
 	if err := stage.configureMaps(); err != nil {
 		return false, err
@@ -138,36 +138,44 @@
 	})
 }
 
-// isLate returns whether an order gets no answer: that which releases the group as the trouble begins, and those to the rank beside the frozen controller.
+// isLate returns whether an order gets no answer: that which releases the group as the trouble begins, and those to disarm the rank beside the killed controller.
 func (late *lateGroup) isLate(index int, order rankserver.Order) bool {
 	late.mutex.Lock()
 	defer late.mutex.Unlock()
 	late.orders++
 	if late.armed && order.Operation == "go" {
 		if controller := late.controller(); controller >= 0 && controller != index {
-			late.armed, late.frozen, late.orders, late.unanswered = false, controller, 1, 1
-			late.freeze(index, order)
+			late.armed, late.silent, late.orders, late.unanswered = false, controller, 1, 1
+			late.kill(index, order)
 			return true
 		}
 	}
-	if late.frozen == index {
+	if late.silent == index && order.Operation == "disarm" {
 		late.unanswered++
 		return true
 	}
 	return false
 }
 
-// freeze stops the controller for a time.
-func (late *lateGroup) freeze(index int, order rankserver.Order) {
-	process := late.agents[late.frozen].command.Process
-	_ = process.Signal(syscall.SIGSTOP) // fails if it has ended, which the record shows
-	late.stage.record("the order to release rank %d before pass %d gets no answer and is carried out %s later; the controller beside rank %d is stopped", index, order.Step, lateAfter, late.frozen)
-	time.AfterFunc(freezeTime, func() {
-		_ = process.Signal(syscall.SIGCONT) // as above
-		late.stage.record("the controller goes on")
+// kill kills the controller, which starts again a little later; the caller holds the mutex.
+func (late *lateGroup) kill(index int, order rankserver.Order) {
+	controller := late.silent
+	late.stage.record("the order to release rank %d before pass %d gets no answer and is carried out %s later; the controller beside rank %d is killed", index, order.Step, lateAfter, controller)
+	_ = late.agents[controller].command.Process.Kill() // fails if it has ended, which the record shows
+	time.AfterFunc(restartTime, func() {
+		agent, err := late.stage.start("agent", controller+1, agentSettings(controller))
+		if err != nil {
+			late.stage.record("the controller does not start again: %v", err)
+			return
+		}
+		late.mutex.Lock()
+		defer late.mutex.Unlock()
+		late.agents[controller] = agent
+	})
+	time.AfterFunc(lateTrouble, func() {
 		late.mutex.Lock()
 		defer late.mutex.Unlock()
-		late.frozen = -1
+		late.silent = -1
 	})
 }
 
--- a/review/actors/process.go
+++ b/review/actors/process.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -108,6 +109,7 @@
 	}
 	process.command.Env = append(os.Environ(), "CRANBERRYWARD_SETTINGS="+path)
 	process.command.Stdout, process.command.Stderr = log, log
+	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the player, however that ends
 	if err := process.command.Start(); err != nil {
 		return nil, err
 	}
--- a/review/actors/stop.go
+++ b/review/actors/stop.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -27,6 +26,10 @@
 	lateDeadline    = 7470 * time.Millisecond
 	// lateEnd is when the streams are complete.
 	lateEnd = 7410 * time.Millisecond
+	// zoneEntries is the number of entries of the zone, stopGap the time between two of them that are stopped, and readyPause that between two readiness checks.
+	zoneEntries = 3
+	stopGap     = time.Second
+	readyPause  = time.Second
 	// deadlineSlack is how much sooner than its caller's deadline a stream may end and count as ended by it.
 	deadlineSlack = 20 * time.Millisecond
 )
@@ -53,25 +56,30 @@
 	if err := errors.Join(stage.register("i-1", "app", address, 64), stage.configureStop()); err != nil {
 		return false, err
 	}
-	entry, err := stage.startEntry(1)
+	balancer, err := stage.startZone()
 	if err != nil {
 		return false, err
 	}
 	var wait sync.WaitGroup
-	for number := range 3 { // which keep the entry from ending at once
+	for number := range 6 { // three to each of the entries that are stopped, which keep them from ending at once
 		wait.Go(func() {
-			stage.callStream(entry.callers, fmt.Sprintf("before-%d", number), streamTime, streamTime+time.Second)
+			stage.callStream(balancer.entries[number%2].callers, fmt.Sprintf("before-%d", number), streamTime, streamTime+time.Second)
 		})
 	}
 	time.Sleep(time.Second)
+	if err := balancer.stop(1); err != nil {
+		return false, err
+	}
+	time.Sleep(stopGap)
 	begun := time.Now()
-	if stage.trouble {
-		stage.record("the entry gets SIGTERM")
-		if err := entry.command.Process.Signal(syscall.SIGTERM); err != nil {
-			return false, err
-		}
+	if err := balancer.stop(0); err != nil {
+		return false, err
 	}
 	time.Sleep(time.Until(begun.Add(lateTime + 100*time.Millisecond)))
+	if !balancer.uses(0) {
+		return false, errors.New("the platform sends no callers to the first entry")
+	}
+	entry := balancer.entries[0]
 	before := passedOn.Load()
 	ends := make([]streamEnd, lateStreams)
 	for number := range ends {
@@ -81,7 +89,7 @@
 		time.Sleep(lateStreamPause)
 	}
 	wait.Wait()
-	stage.record("%d of %d streams that were sent more than %s after the SIGTERM were passed on", passedOn.Load()-before, lateStreams, lateTime)
+	stage.record("%d of %d streams that were sent more than %s later were passed on", passedOn.Load()-before, lateStreams, lateTime)
 	return stage.countCuts(ends) > 0, nil
 }
 
