--- a/rebalancer/hold.go
+++ b/rebalancer/hold.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberryward/cranberryward"
+	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 )
 
@@ -60,7 +61,7 @@
 }
 
 // commitHold asks the agent beside the held rank for permission to arm the rank on the controller's own instance. An agent that has begun to end the hold
-// refuses.
+// refuses. Only that agent can permit it: a report that the rank itself gives in its place is none, also once nobody waits for the answer.
 func (rebalancer *Rebalancer) commitHold(ctx context.Context, heldRank int, version uint64) error {
 	var failure error
 	for range announceAttempts {
@@ -68,9 +69,13 @@
 		if err == nil && observation.Fresh {
 			return nil
 		}
-		if eris.Is(err, ErrTermEnded) || ctx.Err() != nil {
+		_ = level.Info(rebalancer.logger).Log("event", "hold_not_committed", "version", version, "rank", heldRank, "fresh", observation.Fresh, "error", err, "ended", context.Cause(ctx))
+		if eris.Is(err, ErrTermEnded) {
 			return err
 		}
+		if ctx.Err() != nil {
+			return eris.Wrap(ctx.Err(), "wait for the agent beside the held rank")
+		}
 		failure = err
 	}
 	return eris.Errorf("the agent beside the held rank does not answer: %v", failure)
--- /dev/null
+++ b/rebalancer/hold_test.go
@@ -0,0 +1,97 @@
+package rebalancer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cranberryward/cranberryward"
+	"github.com/go-kit/log"
+)
+
+const (
+	// heldVersion is the version of the map that is armed, and ownID and heldID the ranks beside the controller and beside the agent that ends the hold.
+	heldVersion = 7
+	ownID       = "own"
+	heldID      = "held"
+)
+
+// unheardGroup is a group of which the agent beside the held rank answers no question for permission; the rank answers in its place, with an old report.
+type unheardGroup struct {
+	Group
+	RankClient
+	// onVouch is what the agent answers to a controller that vouches for its hold.
+	onVouch error
+	// silence is how long the agent is waited for before the rank is asked, or zero if that only happens once the question is abandoned.
+	silence time.Duration
+	// armed are the ranks that got the order to arm the map.
+	armed []string
+}
+
+func (*unheardGroup) Name() string { return "" }
+
+func (unheardGroup *unheardGroup) Surveyor() Surveyor { return armingSurveyor{unheardGroup} }
+
+type armingSurveyor struct{ *unheardGroup }
+
+func (armingSurveyor armingSurveyor) Survey(context.Context, []Member, Query) Survey { return Survey{} }
+
+func (armingSurveyor armingSurveyor) OrderAll(_ context.Context, members []Member, _ []uint64, _ string, _ uint64, _ cranberryward.RankOrder) []OrderResult {
+	for _, member := range members {
+		armingSurveyor.armed = append(armingSurveyor.armed, member.ID)
+	}
+	return slices.Repeat([]OrderResult{{Outcome: cranberryward.OrderAccepted}}, len(members))
+}
+
+func (unheardGroup *unheardGroup) Observe(ctx context.Context, query Query) (Observation, error) {
+	if query.Hold == HoldVouched {
+		return Observation{}, unheardGroup.onVouch
+	}
+	if unheardGroup.silence > 0 {
+		time.Sleep(unheardGroup.silence)
+		return Observation{}, nil
+	}
+	<-ctx.Done()
+	return Observation{}, nil
+}
+
+// TestOwnRankIsArmedOnlyWithPermission guards against a controller that takes an old report of the held rank for the permission of the agent beside it, as its context
+// has ended: that agent has undone the change without the controller's own rank, which alone runs the new map then (review/6).
+func TestOwnRankIsArmedOnlyWithPermission(t *testing.T) {
+	lost := errors.New("the lease is lost")
+	for name, test := range map[string]struct {
+		group    unheardGroup
+		endAfter time.Duration
+		expected error
+	}{
+		"a later term ends the change":  {group: unheardGroup{onVouch: ErrTermEnded}, endAfter: time.Hour, expected: ErrTermEnded},
+		"the lease is lost meanwhile":   {endAfter: time.Second, expected: context.Canceled},
+		"the lease was lost before":     {expected: context.Canceled},
+		"the lease is lost as it fails": {group: unheardGroup{silence: time.Second}, endAfter: 500 * time.Millisecond, expected: context.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancelCause(t.Context())
+				time.AfterFunc(test.endAfter, func() { cancel(lost) })
+				synctest.Wait()
+				rebalancer := New(&test.group, 1, log.NewNopLogger())
+				for _, id := range []string{ownID, heldID} {
+					rebalancer.ranks = append(rebalancer.ranks, rank{member: Member{
+						ID:     id,
+						Client: &test.group,
+						Local:  id == ownID,
+					}})
+				}
+				err := rebalancer.whileHeld(ctx, []int{1}, rebalancer.holdQuery(HoldVouched, heldVersion), func(ctx context.Context) error {
+					return rebalancer.arm(ctx, 1, heldVersion, 1)
+				})
+				if !errors.Is(err, test.expected) || slices.Contains(test.group.armed, ownID) {
+					t.Errorf("error %v, expected %v; armed: %v", err, test.expected, test.group.armed)
+				}
+			})
+		})
+	}
+}
