gateway/agent: a query that was canceled is no silence of its agent

Cause: where the context of a query ended, the agent counted as silent for a second. So the rank was asked in its place, although nobody waited for the answer, and for that second orders went to the rank directly, past the agent that refuses those of an ended term. In the tree the agent was avoided for three seconds. Change: a canceled query returns its error and changes nothing. One whose time is over counts as before. Ruled out: returning an error after a deadline as well; surveys with silent agents need the direct report then (TestUnreachableRankDoesNotDelaySurveys). Tests: TestCanceledQueryIsNoSilence failed in two of three cases before, TestCanceledRequestAvoidsNoAgent in two of four.

--- a/gateway/agent/rank_client.go
+++ b/gateway/agent/rank_client.go
@@ -9,6 +9,7 @@
 	"github.com/cranberryward/cranberryward/caller"
 	"github.com/cranberryward/cranberryward/platform"
 	"github.com/cranberryward/cranberryward/rebalancer"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -40,7 +41,7 @@
 func (rankClient *rankClient) Observe(ctx context.Context, query rebalancer.Query) (rebalancer.Observation, error) {
 	if !rankClient.silent() {
 		observation, err := rankClient.observeThroughAgent(ctx, query)
-		if err == nil || !rankClient.mayAskDirectly(err) {
+		if err == nil || !rankClient.mayAskDirectly(ctx, err) {
 			return observation, err
 		}
 	}
@@ -77,8 +78,11 @@
 }
 
 // mayAskDirectly returns whether an agent failed in a way that says nothing about its rank: it cannot be reached or did not answer in time, after which it
-// counts as silent for a while.
-func (rankClient *rankClient) mayAskDirectly(err error) bool {
+// counts as silent for a while. A query that was canceled says nothing about the agent either.
+func (rankClient *rankClient) mayAskDirectly(ctx context.Context, err error) bool {
+	if eris.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
 	switch cranberryward.FailureOf(err).Reason() {
 	case cranberryward.ReasonUnreachable, cranberryward.ReasonDeadline:
 		rankClient.mutex.Lock()
--- a/gateway/agent/rank_test.go
+++ b/gateway/agent/rank_test.go
@@ -142,3 +142,54 @@
 		t.Errorf("the own controller is answered with %v, the rank is held at step %d", err, observed.Observation.Report.Held)
 	}
 }
+
+// silentAgent is an agent that answers nothing until it is healed.
+type silentAgent struct{ healed chan struct{} }
+
+func (silentAgent *silentAgent) Observe(ObserveRequest, *ObserveReply) error {
+	<-silentAgent.healed
+	return nil
+}
+
+// TestCanceledQueryIsNoSilence guards against a controller that takes the end of its own context for the silence of an agent: it would get the rank's report in place of an
+// answer that nobody awaits and, for a while, send its orders past the agent, which refuses those of an ended term.
+func TestCanceledQueryIsNoSilence(t *testing.T) {
+	for name, test := range map[string]struct {
+		patience time.Duration
+		canceled bool
+	}{
+		"canceled before":      {canceled: true},
+		"canceled meanwhile":   {patience: localTimeout / 5, canceled: true},
+		"not answered in time": {patience: 20 * localTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testGroup := newTestGroup(t)
+			agent := &silentAgent{healed: make(chan struct{})}
+			server, err := caller.NewServer("127.0.0.1:0", "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := server.Register("Rank", agent); err != nil {
+				t.Fatal(err)
+			}
+			server.Start()
+			t.Cleanup(server.Stop)
+			defer close(agent.healed)
+			client := testGroup.members[1].Client.(*rankClient)
+			client.agentAddress = server.Address()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			defer time.AfterFunc(test.patience, cancel).Stop()
+			if test.patience == 0 {
+				cancel()
+			}
+			observation, err := client.Observe(ctx, rebalancer.Query{Group: testGroup.name, Term: testTerm(1)})
+			if (err != nil) != test.canceled || observation.Fresh {
+				t.Errorf("observation %+v, error %v", observation, err)
+			}
+			if client.silent() == test.canceled {
+				t.Errorf("the agent counts as silent: %t", client.silent())
+			}
+		})
+	}
+}
--- a/gateway/agent/tree.go
+++ b/gateway/agent/tree.go
@@ -99,7 +99,7 @@
 }
 
 // forEachPart calls ask for each part of the targets at once. If the agent of a part's first target certainly was not reached, ask is called again with the
-// rest of the part; fail is called for each target that no agent answered for.
+// rest of the part; fail is called for each target that no agent answered for. An agent is avoided if it did not answer, but not for a request that was canceled.
 func (tree *tree) forEachPart(ctx context.Context, targets []Target, ask func(ctx context.Context, part part) error, fail func(index int, err error)) {
 	var wait sync.WaitGroup
 	for _, part := range tree.split(targets) {
@@ -115,15 +115,18 @@
 			return
 		}
 		failure := cranberryward.FailureOf(err)
+		canceled := eris.Is(ctx.Err(), context.Canceled)
 		if failure.Verdict() != cranberryward.NotRun {
-			tree.avoid(part.targets[0].Agent)
+			if !canceled {
+				tree.avoid(part.targets[0].Agent)
+			}
 			for _, index := range part.indexes {
 				fail(index, err)
 			}
 			return
 		}
 		fail(part.indexes[0], err)
-		if failure.Reason() == cranberryward.ReasonUnreachable {
+		if failure.Reason() == cranberryward.ReasonUnreachable && !canceled {
 			tree.avoid(part.targets[0].Agent)
 		}
 		part.targets, part.indexes = part.targets[1:], part.indexes[1:]
--- a/gateway/agent/tree_test.go
+++ b/gateway/agent/tree_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// TestCanceledRequestAvoidsNoAgent guards against agents that count as silent because the request that they were about to answer was canceled.
+func TestCanceledRequestAvoidsNoAgent(t *testing.T) {
+	for _, verdict := range []cranberryward.Verdict{cranberryward.MayHaveRun, cranberryward.NotRun} {
+		for _, canceled := range []bool{true, false} {
+			ctx, cancel := context.WithCancel(t.Context())
+			tree := newTree(nil)
+			ask := func(context.Context, part) error {
+				if canceled {
+					cancel()
+				}
+				return cranberryward.NewFailure(verdict, cranberryward.ReasonUnreachable, "no answer")
+			}
+			failed := 0
+			tree.forEachPart(ctx, numberedTargets(1), ask, func(int, error) { failed++ })
+			cancel()
+			if avoided := len(tree.avoided) > 0; avoided == canceled || failed != 1 {
+				t.Errorf("verdict %v, canceled %t: avoided %t, %d targets failed", verdict, canceled, avoided, failed)
+			}
+		}
+	}
+}
+
 // gobBytes returns how many bytes a value takes after another one of its type on the same connection, which has sent the description of the type.
 func gobBytes(t *testing.T, value any) int {
 	t.Helper()
