rebalancer: a report from before the hold is no proof of its release

Cause: a release without an answer counts as carried out once the rank reports no hold. If its agent is silent, the report may be several hundred milliseconds old, from before the hold: the change counted as complete while the group stood still, until the agent beside the rank or the next round of the controller saw the hold. Change: such a report counts only if the pass has begun, or if the attempts have lasted longer than a report may be old; until then the release is sent again. Ruled out: the same for other orders. A hold and an arming are not reported before they are carried out; a disarming is proved by the prepare that follows. Test: TestReleaseIsNotTakenFromReportsBeforeTheHold failed before in two of three cases.

--- a/rebalancer/change.go
+++ b/rebalancer/change.go
@@ -329,6 +329,7 @@
 	rank := &rebalancer.ranks[index]
 	order.Epoch = rank.observation.Report.Epoch
 	var failure error
+	begun := time.Now()
 	for range maxOrderAttempts {
 		order.Orders = rank.observation.Report.Orders
 		outcome, err := cranberryward.OrderUnknown, errNotAllowed
@@ -360,7 +361,7 @@
 		}
 		rank.observation.Report = observation.Report
 		_ = level.Info(rebalancer.logger).Log("event", "order_unsettled", "rank", index, "order", order.Kind, "outcome", int(outcome), "error", failure, "orders", before, "reported_orders", observation.Report.Orders, "held", observation.Report.Held, "armed", observation.Report.Armed, "fresh", observation.Fresh)
-		if done(observation.Report) {
+		if done(observation.Report) && !mayPrecede(observation, order, begun) {
 			return true, nil
 		}
 		refused := outcome == cranberryward.OrderRefused && before == observation.Report.Orders
@@ -377,6 +378,12 @@
 	return false, eris.Wrapf(failure, "outcome of the order still unknown after %d attempts", maxOrderAttempts)
 }
 
+// mayPrecede returns whether an observation may be older than the hold that an order releases, which is older than the first attempt: the rank is not held in
+// such a report either.
+func mayPrecede(observation Observation, order cranberryward.RankOrder, begun time.Time) bool {
+	return order.Kind == cranberryward.RankRelease && !observation.Fresh && observation.Report.Step < order.Step && time.Since(begun) < staleReportDelay
+}
+
 // recordAccepted records what an order that a rank has accepted changes in its report: the number of orders, unless the ranks don't count, and what is armed or
 // held. A copy may not be complete yet.
 func (rebalancer *Rebalancer) recordAccepted(index int, order cranberryward.RankOrder) {
--- a/rebalancer/hold_test.go
+++ b/rebalancer/hold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -95,3 +96,62 @@
 		})
 	}
 }
+
+// heldRank is a rank that is held before a pass, whose agent does not answer: its own reports are old, and the outcomes of orders are lost.
+type heldRank struct {
+	Group
+	RankClient
+	heldAt time.Time
+	// lost is how many orders get lost before one is carried out.
+	lost     int
+	released bool
+}
+
+func (*heldRank) Name() string { return "" }
+
+func (heldRank *heldRank) Order(context.Context, string, uint64, cranberryward.RankOrder) (cranberryward.OrderOutcome, error) {
+	heldRank.lost--
+	heldRank.released = heldRank.released || heldRank.lost < 0
+	return cranberryward.OrderUnknown, errors.New("no answer")
+}
+
+func (heldRank *heldRank) Observe(context.Context, Query) (Observation, error) {
+	observation := Observation{Report: cranberryward.RankReport{Armed: heldVersion}}
+	if !heldRank.released && time.Since(heldRank.heldAt) > staleReportDelay {
+		observation.Report.Held = heldStep
+	}
+	if heldRank.released {
+		observation.Report.Step = heldStep
+	}
+	return observation, nil
+}
+
+// heldStep is the pass before which a rank is held.
+const heldStep = 9
+
+// TestReleaseIsNotTakenFromReportsBeforeTheHold guards against a change that counts as complete while its group stands still: the held rank's agent does not answer, and the
+// rank's report is from before the hold.
+func TestReleaseIsNotTakenFromReportsBeforeTheHold(t *testing.T) {
+	for _, lost := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint(lost, " lost"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				held := &heldRank{
+					heldAt: time.Now(),
+					lost:   lost,
+				}
+				rebalancer := New(held, 1, log.NewNopLogger())
+				rebalancer.ranks = []rank{{
+					member: Member{Client: held},
+					observation: Observation{Report: cranberryward.RankReport{
+						Armed: heldVersion,
+						Held:  heldStep,
+					}},
+				}}
+				armed := func(report cranberryward.RankReport) bool { return report.Armed == heldVersion }
+				if err := rebalancer.release(t.Context(), 0, heldStep, armed); err != nil || !held.released {
+					t.Errorf("error %v, the rank is released: %t", err, held.released)
+				}
+			})
+		})
+	}
+}
