--- a/entry/server/callers_test.go
+++ b/entry/server/callers_test.go
@@ -20,6 +20,7 @@
 		"early":                  {time.Second, "1m", true},
 		"late":                   {20 * time.Second, "1m", false},
 		"late, and short enough": {20 * time.Second, "5s", true},
+		"beside the answers":     {20 * time.Second, "9950ms", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -136,7 +136,7 @@
 // long one, and shortly before the end those in flight are answered. A later call moves the end.
 func (forwarder *Forwarder) Stop(by time.Time) {
 	forwarder.stopper.Begin(by)
-	answerAt := time.Until(by.Add(-stopper.AnswerTime))
+	answerAt := time.Until(stopper.AnswerAt(by))
 	forwarder.stopMutex.Lock()
 	defer forwarder.stopMutex.Unlock()
 	if forwarder.answerTimer == nil {
--- a/gateway/entry/stop_test.go
+++ b/gateway/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/cranberryward/cranberryward/acceptor"
 	"github.com/cranberryward/cranberryward/reserver"
 	"github.com/cranberryward/cranberryward/standin/scriptserver"
+	"github.com/cranberryward/cranberryward/stopper"
 	"github.com/go-kit/log"
 )
 
@@ -87,6 +89,39 @@
 	}
 }
 
+// TestStopCutsNoStreamThatItAccepts guards against accepting a stream whose deadline is in the time that the end of a stop leaves for answers: it would be cut before its
+// caller's deadline (review/10).
+func TestStopCutsNoStreamThatItAccepts(t *testing.T) {
+	const stopTime, pieces = time.Second, 10
+	for name, test := range map[string]struct {
+		// remaining is the time that the caller has left as the stop begins; the stream needs most of it.
+		remaining time.Duration
+		status    int
+		body      string
+		runs      int
+	}{
+		"until the answers":  {stopTime - 3*stopper.AnswerTime, http.StatusOK, events(0, pieces), 1},
+		"beside the answers": {stopTime - stopper.AnswerTime/4, http.StatusServiceUnavailable, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixture(t, func(exchange *scriptserver.Exchange) bool {
+				io.WriteString(exchange, scriptserver.ResponseHead(exchange.Request.Header.Get("X-Attempt-Id"), 200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+				for id := 1; id <= pieces; id++ {
+					<-time.After((test.remaining - stopper.AnswerTime/2) / pieces)
+					io.WriteString(exchange, scriptserver.EventChunk(id, fmt.Sprintf("piece %d", id)))
+				}
+				io.WriteString(exchange, "0\r\n\r\n")
+				return true
+			})
+			fixture.forwarder.Stop(time.Now().Add(stopTime))
+			request := fixture.request(http.MethodPost, "/once/", "question", fmt.Sprint("X-Deadline-Remaining-Ms: ", test.remaining.Milliseconds()))
+			if status, body := fixture.send(request); status != test.status || body != test.body || fixture.runs() != test.runs {
+				t.Errorf("status %d after %d runs, expected %d after %d; body %q", status, fixture.runs(), test.status, test.runs, body)
+			}
+		})
+	}
+}
+
 // awaitAccepted waits until the server has taken a connection.
 func (callerListener *callerListener) awaitAccepted(t *testing.T) {
 	deadline := time.After(10 * time.Second)
--- a/listener/server.go
+++ b/listener/server.go
@@ -93,7 +93,7 @@
 	defer func() { _ = server.listener.Close() }() // open still if the server was not started
 	defer server.cancel()
 	if end, limited := ctx.Deadline(); limited {
-		defer time.AfterFunc(time.Until(end.Add(-stopper.AnswerTime)), server.cancel).Stop()
+		defer time.AfterFunc(time.Until(stopper.AnswerAt(end)), server.cancel).Stop()
 	}
 	err := server.server.Shutdown(ctx)
 	if err != nil {
--- a/stopper/stopper_test.go
+++ b/stopper/stopper_test.go
@@ -17,6 +17,8 @@
 		"early":                               {8 * time.Second, 2 * time.Second, 8 * time.Second, true},
 		"late":                                {8 * time.Second, 4 * time.Second, 8 * time.Second, false},
 		"late, and short enough":              {8 * time.Second, 4 * time.Second, 3 * time.Second, true},
+		"late, until the answers":             {8 * time.Second, 4 * time.Second, 4*time.Second - AnswerTime, true},
+		"late, beside the answers":            {8 * time.Second, 4 * time.Second, 4*time.Second - AnswerTime/2, false},
 		"a short stop":                        {3 * time.Second, 0, 8 * time.Second, false},
 		"a long stop, early":                  {30 * time.Second, 2 * time.Second, time.Minute, true},
 		"a long stop, late":                   {30 * time.Second, 10 * time.Second, 25 * time.Second, false},
