--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -268,7 +268,7 @@
 			retryAfter: startRetryAfter,
 		}
 	}
-	exchange.route = table.route(exchange.request.Host, exchange.request.URL.Path)
+	exchange.route = table.route(exchange.request.Host, exchange.request.URL.EscapedPath())
 	if exchange.route == nil {
 		return http.StatusNotFound, denial{reason: "no_route"}
 	}
--- a/forwarder/table.go
+++ b/forwarder/table.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/cranberryward/cranberryward"
@@ -15,27 +17,36 @@
 type table struct {
 	deployment *cranberryward.Deployment
 	// routes holds the routes of each host, sorted by descending prefix length.
-	routes     map[string][]*cranberryward.Route
+	routes     map[string][]prefixedRoute
 	workspaces map[string]*cranberryward.Workspace
 	services   map[string]*cranberryward.BackendService
 	// priorities holds what backend servers are told for each standing.
 	priorities map[int]int
 }
 
+// prefixedRoute is a route with its prefix in the form in which it is compared with paths.
+type prefixedRoute struct {
+	prefix string
+	route  *cranberryward.Route
+}
+
 func newTable(deployment *cranberryward.Deployment) *table {
 	table := &table{
 		deployment: deployment,
-		routes:     map[string][]*cranberryward.Route{},
+		routes:     map[string][]prefixedRoute{},
 		workspaces: map[string]*cranberryward.Workspace{},
 		services:   map[string]*cranberryward.BackendService{},
 	}
 	for i := range deployment.Routes {
 		route := &deployment.Routes[i]
 		host := strings.ToLower(route.Host)
-		table.routes[host] = append(table.routes[host], route)
+		table.routes[host] = append(table.routes[host], prefixedRoute{
+			prefix: unescapeSegments(route.Prefix),
+			route:  route,
+		})
 	}
 	for _, routes := range table.routes {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].prefix) > len(routes[j].prefix) })
 	}
 	for i := range deployment.Workspaces {
 		workspace := &deployment.Workspaces[i]
@@ -100,19 +111,46 @@
 	return slices.Collect(maps.Values(found))
 }
 
-// route returns the route of a host whose prefix is the longest that matches the path, or nil.
-func (table *table) route(host, path string) *cranberryward.Route {
+// route returns the route of a host whose prefix is the longest that begins the path, as it was sent, or nil.
+func (table *table) route(host, escapedPath string) *cranberryward.Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, route := range table.routes[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route
+	path := unescapeSegments(escapedPath)
+	for _, prefixed := range table.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, prefixed.prefix) {
+			return prefixed.route
 		}
 	}
 	return nil
 }
 
+// unescapeSegments returns a path with its escaped bytes decoded, but those that would be taken for the end of a segment or for an escape; backend servers get the
+// path as it was sent, in which an escaped slash is part of a segment.
+func unescapeSegments(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	var unescaped strings.Builder
+	for i := 0; i < len(path); i++ {
+		if path[i] != '%' {
+			unescaped.WriteByte(path[i])
+			continue
+		}
+		decoded := byte('%') // as it is, where a prefix has one that begins no escape
+		if value, err := strconv.ParseUint(path[i+1:min(i+3, len(path))], 16, 8); err == nil && i+2 < len(path) {
+			decoded = byte(value)
+			i += 2
+		}
+		if decoded == '/' || decoded == '%' {
+			fmt.Fprintf(&unescaped, "%%%02X", decoded)
+		} else {
+			unescaped.WriteByte(decoded)
+		}
+	}
+	return unescaped.String()
+}
+
 // authorize returns the workspace of a key, if any, and whether a request with this key may use the route.
 func (table *table) authorize(route *cranberryward.Route, key string) (*cranberryward.Workspace, bool) {
 	workspace := table.workspaces[key]
