acceptor: a head that was refused is not read on, and not called wrong

What callers could see: 400 for a sound request; or a request that is served without a part of its headers, which was not played. Cause: the part of a head that found no memory was dropped and its read failed, but the next read went on behind the gap. net/http ignores an error where it looks ahead for the next line, and reads again; and it takes a line that ends with a failed read for a whole one, which is malformed. Change: the refusal is kept, each further read returns it, and nothing is written but the 431 of a head that is too long. So the connection ends without an answer, as the design says. Test: TestRefusedHeadIsNotReadOn failed before.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -72,6 +72,50 @@
 	}
 }
 
+// TestRefusedHeadIsNotReadOn guards against a head that is read on behind the part that found no memory: net/http looks ahead for the next line and ignores the first error there, and
+// the request would be served without that part.
+func TestRefusedHeadIsNotReadOn(t *testing.T) {
+	memory := reserver.New(1 << 20)
+	var others []*reserver.Reservation
+	for other := memory.Reserve(); other.TakeForRequest(1 << 10); other = memory.Reserve() {
+		others = append(others, other)
+	}
+	connections := New(memory, 1, limits, func(string) {}, log.NewNopLogger())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	sender, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	connection := connections.Admit(accepted)
+	part := make([]byte, 4<<10)
+	io.WriteString(sender, strings.Repeat("x", 3*len(part)))
+	if _, err := io.ReadFull(connection, part); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := connection.Read(part); n > 0 || err == nil {
+		t.Fatalf("%d bytes are read of a head that finds no memory, error %v", n, err)
+	}
+	for _, other := range others {
+		other.Close()
+	}
+	if n, err := connection.Read(part); n > 0 || err == nil {
+		t.Errorf("%d bytes are read behind a head that found no memory, error %v", n, err)
+	}
+	if _, err := io.WriteString(connection, "HTTP/1.1 400 Bad Request\r\n\r\n"); err == nil {
+		t.Error("the caller is told that its request is wrong")
+	}
+}
+
 // TestWriteAfterALongOne guards against a deadline that ends a slow write just as it was done, and then the next answer too.
 func TestWriteAfterALongOne(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -50,7 +50,8 @@
 	reading     atomic.Bool
 	headBytes   int
 	headSince   time.Time
-	idleSet     bool // whether net/http has set its deadline for idle time since the last request
+	headRefusal error // why the head is not read on, which net/http may ask for although a read has failed
+	idleSet     bool  // whether net/http has set its deadline for idle time since the last request
 	reservation *reserver.Reservation
 
 	// The mutex of the acceptor guards these: whether a request is handled, since when none is, and whether the connection has given way.
@@ -83,10 +84,14 @@
 	if !connection.reading.Load() {
 		return connection.TCPConn.Read(data)
 	}
+	if connection.headRefusal != nil {
+		return 0, connection.headRefusal
+	}
 	left := connection.acceptor.limits().HeaderBytes + headerAllowance - connection.headBytes
 	if left <= 0 {
 		connection.refuseHead()
-		return 0, headError(errHeadTooLong)
+		connection.headRefusal = headError(errHeadTooLong)
+		return 0, connection.headRefusal
 	}
 	n, err := connection.TCPConn.Read(data[:min(len(data), left)])
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && connection.extendReading() {
@@ -103,7 +108,8 @@
 	}
 	if more := connection.headBytes - before; more > 0 && !connection.reservation.TakeForRequest(int64(headCost*more)) {
 		connection.acceptor.refusals.record("no_memory", connection.address)
-		return 0, headError(errNoHeadMemory)
+		connection.headRefusal = headError(errNoHeadMemory)
+		return 0, connection.headRefusal
 	}
 	return n, err
 }
@@ -153,6 +159,9 @@
 			connection.acceptor.refusals.record("not_read", connection.address)
 		}
 	}()
+	if connection.headRefusal != nil {
+		return 0, connection.headRefusal // net/http takes what was read of the head for a wrong one
+	}
 	if len(data) <= writePart {
 		return connection.writePart(data)
 	}
