acceptor: the lines of a head take memory, not only its bytes (Fault)

What callers saw: the entry exceeded the memory of its machine, was ended, and all requests that it had accepted were lost. Cause: two bytes were taken for each byte of a head. A head of short fields is held as ten times that once net/http has parsed it: for each field its name, a list of values and a place in a map that may be half empty. Change: each line of a head beyond 64 takes 128 bytes more, as it is read. Why it works: what is taken is at least what is held, for heads from 1 to 16 kB of five kinds; what finds no room ends with its connection before it is parsed.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -1,10 +1,14 @@
 package acceptor
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +76,68 @@
 	}
 }
 
+// TestHeadTakesItsMemory guards against heads that are held as far more than is taken for them: each short field costs more than its bytes (review/9).
+func TestHeadTakesItsMemory(t *testing.T) {
+	const maxHeadBytes = 16 << 10
+	for name, field := range map[string]func(number int) string{
+		"one long field":           func(int) string { return "a: " + strings.Repeat("x", maxHeadBytes/2) },
+		"long fields":              func(number int) string { return fmt.Sprintf("a%d: %s", number, strings.Repeat("x", 100)) },
+		"short fields":             func(number int) string { return strconv.FormatInt(int64(number), 36) + ":" },
+		"short fields with values": func(number int) string { return strconv.FormatInt(int64(number), 36) + ":1" },
+		"one field many times":     func(int) string { return "a:" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for headBytes := 1 << 10; headBytes <= maxHeadBytes; headBytes += headBytes / 4 { // a map grows in steps
+				var head strings.Builder
+				head.WriteString("GET / HTTP/1.1\r\nHost: front.example\r\n")
+				for number := 0; head.Len() < headBytes; number++ {
+					head.WriteString(field(number) + "\r\n")
+				}
+				head.WriteString("\r\n")
+				if held, taken := holdHeads(t, head.String()); held > taken {
+					t.Errorf("a head of %d bytes is held as %d bytes, and %d are taken for it", head.Len(), held, taken)
+				}
+			}
+		})
+	}
+}
+
+// holdHeads holds heads as net/http does, and returns how many bytes are held and taken for each.
+func holdHeads(t *testing.T, head string) (held, taken int64) {
+	const heads = 20
+	memory := reserver.New(1 << 30)
+	connections := New(memory, heads, limits, func(string) {}, log.NewNopLogger())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	requests := make([]*http.Request, heads)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range requests {
+		sender, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer sender.Close()
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer accepted.Close()
+		io.WriteString(sender, head)
+		if requests[i], err = http.ReadRequest(bufio.NewReader(connections.Admit(accepted))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(requests)
+	return (int64(after.HeapAlloc) - int64(before.HeapAlloc)) / heads, memory.Used()/heads + connectionBytes
+}
+
 // TestRefusedHeadIsNotReadOn guards against a head that is read on behind the part that found no memory: net/http looks ahead for the next line and ignores the first error there, and
 // the request would be served without that part.
 func TestRefusedHeadIsNotReadOn(t *testing.T) {
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +18,10 @@
 	freeHeadBytes = 4 << 10
 	// headCost is the memory of a byte of a head: as it is read, and as it is kept.
 	headCost = 2
+	// freeHeadLines is the number of lines of a head that the memory of its connection includes.
+	freeHeadLines = 64
+	// lineCost is the memory of a line beyond its bytes: the name and the list of values of a field, and its place in a map that may be half empty.
+	lineCost = 128
 	// writePart is how much is written at once, so that a slow reader is told from one that takes nothing.
 	writePart = 16 << 10
 	// writeTimeoutSteps is the number of parts of the write timeout after which it is set again.
@@ -45,10 +50,11 @@
 	address  string
 	// writeDeadline is the deadline for writes that is set; only one goroutine writes at a time.
 	writeDeadline time.Time
-	// reading is whether a head is awaited or read, headBytes is how much of it was read, and headSince when its time began, or zero while a kept connection is
-	// idle; the goroutine that serves the connection uses them only then.
+	// reading is whether a head is awaited or read, headBytes and headLines are how much of it was read, with what of the body came at once with its end, and headSince is
+	// when its time began, or zero while a kept connection is idle; the goroutine that serves the connection uses them only then.
 	reading     atomic.Bool
 	headBytes   int
+	headLines   int
 	headSince   time.Time
 	headRefusal error // why the head is not read on, which net/http may ask for although a read has failed
 	idleSet     bool  // whether net/http has set its deadline for idle time since the last request
@@ -100,13 +106,14 @@
 	if n == 0 {
 		return n, err
 	}
-	before := max(connection.headBytes, freeHeadBytes)
+	before := headMemory(connection.headBytes, connection.headLines)
 	connection.headBytes += n
+	connection.headLines += bytes.Count(data[:n], []byte{'\n'})
 	if connection.headSince.IsZero() {
 		connection.headSince = time.Now()
 		connection.extendReading()
 	}
-	if more := connection.headBytes - before; more > 0 && !connection.reservation.TakeForRequest(int64(headCost*more)) {
+	if more := headMemory(connection.headBytes, connection.headLines) - before; more > 0 && !connection.reservation.TakeForRequest(more) {
 		connection.acceptor.refusals.record("no_memory", connection.address)
 		connection.headRefusal = headError(errNoHeadMemory)
 		return 0, connection.headRefusal
@@ -114,6 +121,11 @@
 	return n, err
 }
 
+// headMemory returns how many bytes a head takes beyond what the memory of its connection includes.
+func headMemory(bytes, lines int) int64 {
+	return int64(headCost*max(bytes-freeHeadBytes, 0) + lineCost*max(lines-freeHeadLines, 0))
+}
+
 // headError returns an error of a read; at any other one, net/http answers that the request is wrong.
 func headError(err error) error {
 	return &net.OpError{
@@ -256,6 +268,6 @@
 
 // releaseHead gives back the memory of the head.
 func (connection *connection) releaseHead() {
-	connection.headBytes = 0
+	connection.headBytes, connection.headLines = 0, 0
 	connection.reservation.Close()
 }
