rebalancer: a change that is armed on all ranks is not undone because a report may be old (MAP)

What callers saw: nothing by itself; a group computed passes with two maps, whose answers are wrong, until it formed again. Cause: a controller ended just after it had sent the release of its group, which is carried out seconds later. Whoever resolves the change finds all ranks armed, but the report of the rank beside the lost controller may be old, as it is reached directly. An old report must not complete a change, so the change was undone: the held rank was disarmed and the others, one of them without an answer. The late release then began a pass with both maps. Only the number of orders would have refused the release, and ranks that do not count orders refuse nothing. Ruled out: the order of disarming. The undoing that an earlier look began at armed=15 did no harm: it starts with an order to the rank that seems unarmed, which refuses it. Change: where all ranks seem to be armed and a report may be old, the group is observed again after 400 ms. Armed on all still, the change is completed, else undone. Why it works: a release rests on a change that is armed on all ranks, and an undoing now always begins with an order that proves that one is not.

--- a/rebalancer/settle.go
+++ b/rebalancer/settle.go
@@ -26,7 +26,7 @@
 	if err := rebalancer.replaceChange(ctx, next); err != nil {
 		return err
 	}
-	return rebalancer.releaseUndone(ctx, rebalancer.indexes(func(report cranberryward.RankReport) bool { return report.Held != 0 }))
+	return rebalancer.releaseUndone(ctx, rebalancer.heldRanks())
 }
 
 // checkClosed returns an error unless the closed change is the one that is under way: a controller that was only not heard may have gone on to a later one, in
--- a/rebalancer/unfinished.go
+++ b/rebalancer/unfinished.go
@@ -19,15 +19,21 @@
 // resolveUnfinished completes a change that is armed on all ranks, undoes any other, and releases the held ranks.
 func (rebalancer *Rebalancer) resolveUnfinished(ctx context.Context) error {
 	_ = level.Info(rebalancer.logger).Log("event", "group_unsettled", "epoch", rebalancer.epoch, "held", rebalancer.countHeldRanks(), "armed", rebalancer.countArmedRanks())
-	held := rebalancer.indexes(func(report cranberryward.RankReport) bool { return report.Held != 0 })
 	query := rebalancer.query()
 	query.Hold = HoldVouched // of no known change: whoever ends the hold in place of this process needs the reports of all ranks
-	return rebalancer.whileHeld(ctx, held, query, func(ctx context.Context) error {
-		if rebalancer.allKnownArmed() {
+	return rebalancer.whileHeld(ctx, rebalancer.heldRanks(), query, func(ctx context.Context) error {
+		if err := rebalancer.confirmArmed(ctx); err != nil {
+			return err
+		}
+		held := rebalancer.heldRanks() // which may have been released meanwhile
+		if rebalancer.sameVersionArmed() {
 			rebalancer.placement = nil
 			version := rebalancer.ranks[0].observation.Report.Armed
 			return rebalancer.releaseAll(ctx, held, func(report cranberryward.RankReport) bool { return report.Armed == version })
 		}
+		if !rebalancer.changeUnfinished() {
+			return nil
+		}
 		if err := rebalancer.undoChange(ctx); err != nil {
 			return eris.Wrap(err, "undo an unfinished change")
 		}
@@ -36,10 +42,29 @@
 	})
 }
 
-// allKnownArmed returns whether all ranks are armed with the same version by reports that are not older than the orders of whoever undid the change before.
-func (rebalancer *Rebalancer) allKnownArmed() bool {
+// confirmArmed observes a group again whose ranks all seem to be armed, if one of the reports may be old, after the time in which reports include what was done before.
+// The change may have been released already, by an order that is carried out late, so it must not be undone; and it must not be released as long as a report may be
+// from before it was undone. Nobody undoes it meanwhile: that begins with an order to a rank that is not armed, or with the held one.
+func (rebalancer *Rebalancer) confirmArmed(ctx context.Context) error {
 	old := slices.ContainsFunc(rebalancer.ranks, func(rank rank) bool { return !rank.observation.Fresh })
-	return !old && rebalancer.sameVersionArmed()
+	if !old || !rebalancer.sameVersionArmed() {
+		return nil
+	}
+	if err := sleep(ctx, staleReportDelay); err != nil {
+		return err
+	}
+	if err := rebalancer.observe(ctx, false); err != nil {
+		return err
+	}
+	if len(rebalancer.ranks) == 0 {
+		return eris.New("not all ranks of the open group answered once more")
+	}
+	return nil
+}
+
+// heldRanks returns the indexes of the ranks that are held.
+func (rebalancer *Rebalancer) heldRanks() []int {
+	return rebalancer.indexes(func(report cranberryward.RankReport) bool { return report.Held != 0 })
 }
 
 // sameVersionArmed returns whether all ranks are armed with the same version.
