--- a/gateway/agent/tree.go
+++ b/gateway/agent/tree.go
@@ -115,20 +115,17 @@
 			return
 		}
 		failure := cranberryward.FailureOf(err)
-		canceled := eris.Is(ctx.Err(), context.Canceled)
-		if failure.Verdict() != cranberryward.NotRun {
-			if !canceled {
-				tree.avoid(part.targets[0].Agent)
-			}
+		reached := failure.Verdict() != cranberryward.NotRun // as far as is known
+		if (reached || failure.Reason() == cranberryward.ReasonUnreachable) && !eris.Is(ctx.Err(), context.Canceled) {
+			tree.avoid(part.targets[0].Agent)
+		}
+		if reached {
 			for _, index := range part.indexes {
 				fail(index, err)
 			}
 			return
 		}
 		fail(part.indexes[0], err)
-		if failure.Reason() == cranberryward.ReasonUnreachable && !canceled {
-			tree.avoid(part.targets[0].Agent)
-		}
 		part.targets, part.indexes = part.targets[1:], part.indexes[1:]
 	}
 }
--- a/rebalancer/unfinished.go
+++ b/rebalancer/unfinished.go
@@ -42,9 +42,9 @@
 	})
 }
 
-// confirmArmed observes a group again whose ranks all seem to be armed, if one of the reports may be old, after the time in which reports include what was done before.
-// The change may have been released already, by an order that is carried out late, so it must not be undone; and it must not be released as long as a report may be
-// from before it was undone. Nobody undoes it meanwhile: that begins with an order to a rank that is not armed, or with the held one.
+// confirmArmed observes a group again whose ranks all seem to be armed, if one of the reports may be old, after the time in which reports include what was done before
+// the first look. Such a change may have been released already, by an order that is carried out late, so the age of a report is no reason to undo it; nor to release it, as
+// the report may be from before it was undone. No other process begins to undo it meanwhile: it would first need a rank that is not armed.
 func (rebalancer *Rebalancer) confirmArmed(ctx context.Context) error {
 	old := slices.ContainsFunc(rebalancer.ranks, func(rank rank) bool { return !rank.observation.Fresh })
 	if !old || !rebalancer.sameVersionArmed() {
