gateway/agent: a test with a frozen rank ends when it fails, and prints what was logged

Nothing let the rank answer again, and the end of the test waited for its open requests: the package never ended. Traced by a dump after 21 minutes. Change: the rank answers again as the test ends. The controllers and guards log into a buffer that is printed if the test fails. Checks and bounds are unchanged.

--- a/gateway/agent/hold_guard_test.go
+++ b/gateway/agent/hold_guard_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cranberryward/cranberryward"
 	"github.com/cranberryward/cranberryward/rebalancer"
-	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 )
 
@@ -191,6 +190,8 @@
 				for _, guard := range testGroup.guards {
 					go guard.run(guards)
 				}
+				heal := sync.OnceFunc(func() { close(controller.healed) })
+				t.Cleanup(heal) // a test that fails before would wait for the frozen rank's answers for good
 				ctx, end := context.WithCancel(context.Background())
 				defer end()
 				ended := make(chan struct{})
@@ -200,7 +201,7 @@
 					// On a busy machine, a guard may end the hold and the term of a controller before the stage; the next one begins, as it would.
 					for ctx.Err() == nil && !controller.hasReached() {
 						term++
-						_ = rebalancer.New(controller, testTerm(term), log.NewNopLogger()).Run(ctx)
+						_ = rebalancer.New(controller, testTerm(term), testGroup.logger).Run(ctx)
 						time.Sleep(passInterval)
 					}
 				}()
@@ -213,11 +214,12 @@
 					end()
 				}
 				step := testGroup.group.Step()
+				_ = testGroup.logger.Log("event", "stage_reached", "step", step)
 				// After the commit, nobody can know whether the rank on the frozen instance is armed.
 				if unknown := fault == "frozen" && slices.Contains([]string{"commit done", "arm own done", "release begins"}, stage); !unknown {
 					testGroup.await("passes without the controller", func() bool { return testGroup.group.Step() > step+longestAhead })
 				}
-				close(controller.healed)
+				heal()
 				testGroup.await("passes after the fault", func() bool { return testGroup.group.Step() > step+2*longestAhead })
 				successor := testGroup.runController(term + 1)
 				defer successor()
--- a/gateway/agent/rebalancer_test.go
+++ b/gateway/agent/rebalancer_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -58,8 +59,30 @@
 	due atomic.Int64
 	// lateHolds counts the holds that a test delays.
 	lateHolds atomic.Int64
-	stop      chan struct{}
-	wait      sync.WaitGroup
+	// logger keeps what the controllers and guards log, for the output of a test that fails.
+	logger log.Logger
+	stop   chan struct{}
+	wait   sync.WaitGroup
+}
+
+// lockedBuffer is a buffer that several goroutines write to.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (lockedBuffer *lockedBuffer) Write(data []byte) (int, error) {
+	lockedBuffer.mutex.Lock()
+	defer lockedBuffer.mutex.Unlock()
+	return lockedBuffer.buffer.Write(data)
+}
+
+// String returns what was written.
+func (lockedBuffer *lockedBuffer) String() string {
+	lockedBuffer.mutex.Lock()
+	defer lockedBuffer.mutex.Unlock()
+	return lockedBuffer.buffer.String()
 }
 
 func newTestGroup(t *testing.T) *testGroup { return newNamedTestGroup(t, rankSettings.Name) }
@@ -77,6 +100,13 @@
 		group: rankserver.NewGroup(settings),
 		stop:  make(chan struct{}),
 	}
+	logged := &lockedBuffer{}
+	testGroup.logger = log.With(log.NewLogfmtLogger(logged), "ts", log.DefaultTimestampUTC)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logged:\n%s", logged)
+		}
+	})
 	client := caller.NewClient("")
 	t.Cleanup(client.Close)
 	changes := &changesPacker{}
@@ -100,7 +130,7 @@
 		testGroup.guards = append(testGroup.guards, &holdGuard{
 			rankService: rankService,
 			group:       testGroup,
-			logger:      log.NewNopLogger(),
+			logger:      log.With(testGroup.logger, "agent", index),
 		})
 		server.Start()
 		t.Cleanup(server.Stop)
@@ -186,7 +216,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = rebalancer.New(testGroup, testTerm(term), log.NewNopLogger()).Run(ctx)
+		_ = rebalancer.New(testGroup, testTerm(term), testGroup.logger).Run(ctx)
 	}()
 	return func() {
 		cancel()
