acceptor, forwarder, rebalancer, gateway/agent: tests in the house style

Both ends of a caller's connection come from one function, and struct literals have one field a line.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -44,28 +44,34 @@
 	}
 }
 
-// TestHeadsTakeMemory guards against heads that are held without any bound on their sum.
-func TestHeadsTakeMemory(t *testing.T) {
-	memory := reserver.New(32 << 20)
-	connections := New(memory, 1000, limits, func(string) {}, log.NewNopLogger())
+// connect returns both ends of a new connection of a caller.
+func connect(t *testing.T, acceptor *Acceptor) (sender, admitted net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
+	sender, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { sender.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return sender, acceptor.Admit(accepted)
+}
+
+// TestHeadsTakeMemory guards against heads that are held without any bound on their sum.
+func TestHeadsTakeMemory(t *testing.T) {
+	memory := reserver.New(32 << 20)
+	connections := New(memory, 1000, limits, func(string) {}, log.NewNopLogger())
 	refused := 0
 	for range 200 {
-		sender, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer sender.Close()
-		accepted, err := listener.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer accepted.Close()
-		connection := connections.Admit(accepted)
+		sender, connection := connect(t, connections)
 		io.WriteString(sender, strings.Repeat("x", 60<<10))
 		if _, err := io.ReadFull(connection, make([]byte, 60<<10)); err != nil {
 			refused++
@@ -107,30 +113,18 @@
 	const heads = 20
 	memory := reserver.New(1 << 30)
 	connections := New(memory, heads, limits, func(string) {}, log.NewNopLogger())
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
 	requests := make([]*http.Request, heads)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	for i := range requests {
-		sender, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer sender.Close()
-		accepted, err := listener.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer accepted.Close()
+		sender, connection := connect(t, connections)
 		io.WriteString(sender, head)
-		if requests[i], err = http.ReadRequest(bufio.NewReader(connections.Admit(accepted))); err != nil {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
 			t.Fatal(err)
 		}
+		requests[i] = request
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -147,22 +141,7 @@
 		others = append(others, other)
 	}
 	connections := New(memory, 1, limits, func(string) {}, log.NewNopLogger())
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	sender, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer sender.Close()
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer accepted.Close()
-	connection := connections.Admit(accepted)
+	sender, connection := connect(t, connections)
 	part := make([]byte, 4<<10)
 	io.WriteString(sender, strings.Repeat("x", 3*len(part)))
 	if _, err := io.ReadFull(connection, part); err != nil {
--- a/forwarder/table_test.go
+++ b/forwarder/table_test.go
@@ -11,11 +11,31 @@
 // is repeated, while its backend server gets the path as it was sent (review/8).
 func TestRouteOfEncodedPaths(t *testing.T) {
 	table := newTable(&cranberryward.Deployment{Routes: []cranberryward.Route{
-		{Name: "book", Host: "front.example", Prefix: "/book/"},
-		{Name: "find", Host: "front.example", Prefix: "/book/find/"},
-		{Name: "encoded", Host: "front.example", Prefix: "/book/a%2fb/"},
-		{Name: "percent", Host: "front.example", Prefix: "/book/100%/"},
-		{Name: "accent", Host: "front.example", Prefix: "/café/"},
+		{
+			Name:   "book",
+			Host:   "front.example",
+			Prefix: "/book/",
+		},
+		{
+			Name:   "find",
+			Host:   "front.example",
+			Prefix: "/book/find/",
+		},
+		{
+			Name:   "encoded",
+			Host:   "front.example",
+			Prefix: "/book/a%2fb/",
+		},
+		{
+			Name:   "percent",
+			Host:   "front.example",
+			Prefix: "/book/100%/",
+		},
+		{
+			Name:   "accent",
+			Host:   "front.example",
+			Prefix: "/café/",
+		},
 	}})
 	for path, expected := range map[string]string{
 		"/book/find/1":         "find",
--- a/gateway/agent/rank_test.go
+++ b/gateway/agent/rank_test.go
@@ -158,9 +158,9 @@
 		patience time.Duration
 		canceled bool
 	}{
-		"canceled before":      {canceled: true},
-		"canceled meanwhile":   {patience: localTimeout / 5, canceled: true},
-		"not answered in time": {patience: 20 * localTimeout},
+		"canceled before":      {0, true},
+		"canceled meanwhile":   {localTimeout / 5, true},
+		"not answered in time": {20 * localTimeout, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			testGroup := newTestGroup(t)
@@ -183,7 +183,10 @@
 			if test.patience == 0 {
 				cancel()
 			}
-			observation, err := client.Observe(ctx, rebalancer.Query{Group: testGroup.name, Term: testTerm(1)})
+			observation, err := client.Observe(ctx, rebalancer.Query{
+				Group: testGroup.name,
+				Term:  testTerm(1),
+			})
 			if (err != nil) != test.canceled || observation.Fresh {
 				t.Errorf("observation %+v, error %v", observation, err)
 			}
--- a/rebalancer/hold_test.go
+++ b/rebalancer/hold_test.go
@@ -68,10 +68,10 @@
 		endAfter time.Duration
 		expected error
 	}{
-		"a later term ends the change":  {group: unheardGroup{onVouch: ErrTermEnded}, endAfter: time.Hour, expected: ErrTermEnded},
-		"the lease is lost meanwhile":   {endAfter: time.Second, expected: context.Canceled},
-		"the lease was lost before":     {expected: context.Canceled},
-		"the lease is lost as it fails": {group: unheardGroup{silence: time.Second}, endAfter: 500 * time.Millisecond, expected: context.Canceled},
+		"a later term ends the change":  {unheardGroup{onVouch: ErrTermEnded}, time.Hour, ErrTermEnded},
+		"the lease is lost meanwhile":   {unheardGroup{}, time.Second, context.Canceled},
+		"the lease was lost before":     {unheardGroup{}, 0, context.Canceled},
+		"the lease is lost as it fails": {unheardGroup{silence: time.Second}, 500 * time.Millisecond, context.Canceled},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
