--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -28,8 +28,9 @@
 	connector     *Connector
 	connection    *connection
 	stopInterrupt func() bool
-	bodyWritten   chan error
-	complete      bool
+	// bodyWrite sends a long body of the request; it is nil if the body was sent with the head.
+	bodyWrite *bodyWrite
+	complete  bool
 	// trailers is the number of trailers that the headers announced.
 	trailers int
 	ctx      context.Context
@@ -37,6 +38,12 @@
 	reservation *reserver.Reservation
 }
 
+// bodyWrite is the sending of a request's body while the response is awaited; err is valid once done is closed.
+type bodyWrite struct {
+	done chan struct{}
+	err  error
+}
+
 // Send sends a request and returns its response once the status and headers are read, or a failure whose verdict says whether the request may
 // have run.
 func (connector *Connector) Send(ctx context.Context, request Request) (*Response, error) {
@@ -99,10 +106,11 @@
 		}
 		return cranberryward.MayHaveRun, err
 	}
-	response.bodyWritten = make(chan error, 1)
+	write := &bodyWrite{done: make(chan struct{})}
+	response.bodyWrite = write
 	go func() {
-		_, err := response.connection.Write(request.Body)
-		response.bodyWritten <- err
+		_, write.err = response.connection.Write(request.Body)
+		close(write.done)
 	}()
 	return cranberryward.MayHaveRun, nil
 }
@@ -235,12 +243,12 @@
 
 // bodySent returns whether the body of the request was sent completely.
 func (response *Response) bodySent() bool {
-	if response.bodyWritten == nil {
+	if response.bodyWrite == nil {
 		return true
 	}
 	select {
-	case err := <-response.bodyWritten:
-		return err == nil
+	case <-response.bodyWrite.done:
+		return response.bodyWrite.err == nil
 	default:
 		return false
 	}
--- a/connector/framing.go
+++ b/connector/framing.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"math"
 	"net/http"
 	"strings"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -108,7 +110,7 @@
 		return errUnexpectedTrailer
 	}
 	if response.CloseDelimited() {
-		return nil
+		return response.checkClose()
 	}
 	following := response.connection.peek(len(responsePrefix))
 	if len(following) > 0 && !bytes.HasPrefix(responsePrefix, following) {
@@ -118,6 +120,27 @@
 	return nil
 }
 
+// checkClose returns an error if the connection was lost, as by a reset, instead of being closed by the backend server. The kernel reports the loss once: if the sending
+// of the request's body gets the error, the response seems to end in order.
+func (response *Response) checkClose() error {
+	write := response.bodyWrite
+	if write == nil {
+		return nil
+	}
+	closed, err := response.connection.isClosed()
+	if err != nil {
+		return eris.Wrap(err, "read the state of a connection at the end of a response")
+	}
+	if !closed {
+		return nil // the backend server has closed its side in order, and the body may still be on its way
+	}
+	<-write.done // a closed connection ends the sending at once
+	if write.err != nil && !errors.Is(write.err, syscall.EPIPE) {
+		return eris.Wrap(write.err, "the connection was lost at the end of a response without a length")
+	}
+	return nil // EPIPE: the reset came after the end of the response
+}
+
 // chunkedHead begins a response whose body is sent in chunks.
 const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -82,6 +82,11 @@
 }
 
 func newFixture(t *testing.T, scripts ...script) *fixture {
+	return newFixtureOf(t, scriptserver.New, scripts)
+}
+
+// newFixtureOf returns a fixture whose backend servers are started by a function.
+func newFixtureOf(t *testing.T, start func(script) (*scriptserver.Server, error), scripts []script) *fixture {
 	fixture := &fixture{
 		t: t,
 		view: cranberryward.View{
@@ -121,7 +126,7 @@
 		Limits: cranberryward.RequestLimits{BodyBytes: 1 << 20},
 	}
 	for i, script := range scripts {
-		server, err := scriptserver.New(script)
+		server, err := start(script)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/gateway/soaker/backend_test.go
+++ b/gateway/soaker/backend_test.go
@@ -24,7 +24,9 @@
 			deployment.group.Rank(number).ServeHTTP(writer, request)
 			return
 		}
-		deployment.serveStream(writer, request, number)
+		if !deployment.answerRaw(writer, request, streamAnswers) {
+			deployment.serveStream(writer, request, number)
+		}
 	})
 }
 
@@ -101,6 +103,9 @@
 }
 
 func (app *app) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if app.deployment.answerRaw(writer, request, plainAnswers) {
+		return
+	}
 	id := request.Header.Get("X-Attempt-Id")
 	_, _ = io.Copy(io.Discard, request.Body) // a caller that disconnects ends the request
 	app.deployment.limits.arrive(writer, app.id)
--- a/gateway/soaker/deployment_test.go
+++ b/gateway/soaker/deployment_test.go
@@ -83,6 +83,8 @@
 	version uint64
 	// coldRate is the requests a second that a cold plain backend server tolerates, or zero for any number.
 	coldRate float64
+	// bodyLimit is the longest body of a request, in bytes.
+	bodyLimit int64
 
 	writtenMutex sync.Mutex
 	// written holds what operators and backend servers last wrote to the store, by key.
@@ -100,6 +102,8 @@
 		store:   storeserver.New(),
 		group:   rankserver.NewGroup(rankSettings),
 		stop:    make(chan struct{}),
+
+		bodyLimit: 1 << 20,
 	}
 	front := httptest.NewServer(deployment.store)
 	t.Cleanup(front.Close)
@@ -269,7 +273,7 @@
 			map[string]any{"Name": "engine", "Engine": map[string]any{"Sets": rankSettings.Sets, "Experts": rankSettings.Experts, "Places": rankSettings.Places, "Spare": rankSettings.Spare,
 				"ExpertMb": float64(rankSettings.Copy.Milliseconds()), "LinkMbps": 8000, "Slots": 16, "step_ms": 20, "per_seq_ms": 0.1, "Stride": 1}},
 		},
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": deployment.bodyLimit, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{map[string]any{"Name": "quito", "ApiKeys": []string{key(deployment.version), key(deployment.version - 1)}}},
 	})
 	return deployment.version
--- a/standin/scriptserver/server.go
+++ b/standin/scriptserver/server.go
@@ -39,6 +39,8 @@
 type Server struct {
 	listener net.Listener
 	script   func(exchange *Exchange) bool
+	// early is whether the script is called as soon as the head of a request has arrived.
+	early bool
 
 	mutex           sync.Mutex
 	requests        []*http.Request
@@ -48,7 +50,12 @@
 }
 
 // New starts a server on a loopback port.
-func New(script func(exchange *Exchange) bool) (*Server, error) {
+func New(script func(exchange *Exchange) bool) (*Server, error) { return start(script, false) }
+
+// NewEarly starts a server whose script is called before the body of a request is read, which the script may do itself.
+func NewEarly(script func(exchange *Exchange) bool) (*Server, error) { return start(script, true) }
+
+func start(script func(exchange *Exchange) bool, early bool) (*Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -56,6 +63,7 @@
 	server := &Server{
 		listener:    listener,
 		script:      script,
+		early:       early,
 		connections: map[net.Conn]bool{},
 	}
 	server.waitGroup.Go(server.accept)
@@ -106,9 +114,11 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
+		var body []byte
+		if !server.early {
+			if body, err = io.ReadAll(request.Body); err != nil {
+				return
+			}
 		}
 		server.mutex.Lock()
 		server.requests = append(server.requests, request)
