--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -124,6 +124,9 @@
 			return err
 		}
 		if request.Matches(httpResponse) {
+			if httpResponse.StatusCode < http.StatusContinue {
+				return errInvalidStatus
+			}
 			response.httpResponse, response.trailers = httpResponse, len(httpResponse.Trailer)
 			response.connection.readKeepAlive(httpResponse)
 			return nil
@@ -140,13 +143,18 @@
 func (response *Response) readFinalHead(httpRequest *http.Request) (*http.Response, error) {
 	for range maxInformational {
 		httpResponse, err := response.connection.readResponse(httpRequest)
-		if err != nil || httpResponse.StatusCode >= 200 {
+		if err != nil || !isInformational(httpResponse.StatusCode) {
 			return httpResponse, err
 		}
 	}
 	return nil, eris.Errorf("more than %d informational responses", maxInformational)
 }
 
+// isInformational returns whether a status announces a further response; net/http also reads statuses below 100, which do not.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK
+}
+
 // readResponse reads the status and headers of the next response.
 func (connection *connection) readResponse(httpRequest *http.Request) (*http.Response, error) {
 	connection.head.beginHead(connection.peekBuffered())
--- a/connector/framing.go
+++ b/connector/framing.go
@@ -20,6 +20,8 @@
 	errHeadTooLong = eris.Errorf("status and headers of a response are longer than %d bytes", maxHeadBytes)
 	// errBareLineFeed means that a line of a head ends without a carriage return: a wrong byte may have ended the head, or moved a header into the body.
 	errBareLineFeed = eris.New("a line of a response's head ends with a line feed alone")
+	// errInvalidStatus means that a response has a status below 100, such as 000.
+	errInvalidStatus = eris.New("the status of a response is below 100")
 	// errBodyNotAllowed means that a response has a body that its status does not allow.
 	errBodyNotAllowed = eris.New("a response without a body states the length of one")
 	// errUnexpectedTrailer means that trailers follow the body that no header announced: they may be the rest of a body with a wrong size of a chunk.
--- a/connector/framing_test.go
+++ b/connector/framing_test.go
@@ -35,6 +35,12 @@
 		"a length without a body":          {"HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody", "", errBodyNotAllowed},
 		"a head that ends too soon":        {"HTTP/1.1 200 OK\r\nX-One: 1\n\r\nContent-Length: 4\r\n\r\nbody", "", errBareLineFeed},
 		"an earlier head that does":        {"HTTP/1.1 103 Early Hints\r\nX-One: 1\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "", errBareLineFeed},
+		"status 000":                       {"HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody", "", errInvalidStatus},
+		"status 000 before a response":     {"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "", errInvalidStatus},
+		"status 000 after another head":    {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody", "", errInvalidStatus},
+		"status 099":                       {"HTTP/1.1 099 Trouble\r\nContent-Length: 4\r\n\r\nbody", "", errInvalidStatus},
+		"status 100":                       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body", nil},
+		"status 199":                       {"HTTP/1.1 199 Soon\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body", nil},
 		"a line feed in the body, in both": {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo\ny", "bo\ny", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/cranberryward/administrator/client.go
+++ b/cranberryward/administrator/client.go
@@ -54,7 +54,7 @@
 		return dialer.TransportFailure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if !dialer.IsSuccess(response) {
 		return dialer.ReadFailure(response)
 	}
 	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
--- a/dialer/http.go
+++ b/dialer/http.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if !IsSuccess(response) {
 		return ReadFailure(response)
 	}
 	if result == nil {
@@ -125,8 +125,16 @@
 	return nil
 }
 
+// IsSuccess returns whether a response has one of the statuses 2xx; net/http also reads statuses below 100, such as 000.
+func IsSuccess(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+}
+
 // ReadFailure returns the failure in an error response.
 func ReadFailure(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonResponseBroken, "response with the unexpected status "+strconv.Quote(response.Status))
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	if err != nil {
 		return cranberryward.NewFailure(cranberryward.MayHaveRun, cranberryward.ReasonResponseBroken, "error response was truncated").WithCause(err)
--- a/dialer/keyvalue.go
+++ b/dialer/keyvalue.go
@@ -56,7 +56,7 @@
 		return cranberryward.Record{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusMultipleChoices && response.StatusCode != http.StatusConflict {
+	if !IsSuccess(response) && response.StatusCode != http.StatusConflict {
 		return cranberryward.Record{}, ReadFailure(response)
 	}
 	var record cranberryward.Record
--- a/gateway/entry/forward_test.go
+++ b/gateway/entry/forward_test.go
@@ -198,6 +198,9 @@
 	foreign := func(id string) string {
 		return scriptserver.ResponseHead("another", 200, "Content-Length: 5") + "other" + scriptserver.ResponseHead(id, 200, "Content-Length: 4") + "mine"
 	}
+	foreignStatus := func(id string) string {
+		return strings.Replace(foreign(id), "200", "000", 1)
+	}
 	cut := func(id string) string { return scriptserver.ResponseHead(id, 200, "Content-Length: 100") + "half" }
 	garbage := func(string) string { return "these bytes are no answer\r\n\r\n" }
 	bare503 := func(id string) string { return scriptserver.ResponseHead(id, 503, "Content-Length: 0") }
@@ -214,6 +217,7 @@
 		"an unsigned success is not delivered":                        {"/book/", []script{sendsRaw(unsigned, false)}, 502, "", 1},
 		"an unsigned success of an idempotent request is retried":     {"/look/", []script{sendsRaw(unsigned, false), responds(200, "found")}, 200, "found", 2},
 		"a response to another request is skipped":                    {"/book/", []script{sendsRaw(foreign, false)}, 200, "mine", 1},
+		"a response to another request with status 000 is skipped":    {"/book/", []script{sendsRaw(foreignStatus, false)}, 200, "mine", 1},
 		"a truncated response is not delivered":                       {"/book/", []script{sendsRaw(cut, true)}, 502, "", 1},
 		"a truncated response to an idempotent request is retried":    {"/look/", []script{sendsRaw(cut, true), responds(200, "found")}, 200, "found", 2},
 		"bytes that are no response are not forwarded":                {"/book/", []script{sendsRaw(garbage, false)}, 502, "", 1},
--- a/gateway/soaker/raw_answer_test.go
+++ b/gateway/soaker/raw_answer_test.go
@@ -36,6 +36,9 @@
 	body string
 }
 
+// trouble is the head of an answer with the status 000.
+const trouble = "HTTP/1.1 000 Trouble\r\nX-Attempt-Id: ID\r\nX-Response-Signature: signature\r\n"
+
 const twoEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
 
 var plainAnswers = map[string]rawAnswer{
@@ -46,11 +49,15 @@
 	"reset-empty":    {"HEAD\r\n", false, ""},
 	"reset-sized":    {"HEADContent-Length: 5\r\n\r\npart", false, ""},
 	"reset-chunked":  {"HEADTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false, ""},
+	"status":         {trouble + "Content-Length: 4\r\n\r\npart", true, ""},
+	"status-before":  {trouble + "\r\nHEADContent-Length: 4\r\n\r\npart", true, ""},
 }
 
 var streamAnswers = map[string]rawAnswer{
-	"whole-stream": {"HEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, true, twoEvents},
-	"reset-stream": {"HEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, false, ""},
+	"whole-stream":  {"HEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, true, twoEvents},
+	"reset-stream":  {"HEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, false, ""},
+	"status":        {trouble + "Content-Type: text/event-stream\r\n\r\n" + twoEvents, true, ""},
+	"status-before": {trouble + "\r\nHEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, true, ""},
 }
 
 // write writes the answer to a request and ends its connection.
