--- a/connector/framing.go
+++ b/connector/framing.go
@@ -20,6 +20,9 @@
 	errHeadTooLong = eris.Errorf("status and headers of a response are longer than %d bytes", maxHeadBytes)
 	// errBareLineFeed means that a line of a head ends without a carriage return: a wrong byte may have ended the head, or moved a header into the body.
 	errBareLineFeed = eris.New("a line of a response's head ends with a line feed alone")
+	// errBlankInName means that the name of a field holds a blank, or that a line begins with one: net/http keeps such a name, with which the field is another one than it
+	// was, or takes the line for a part of the field before it.
+	errBlankInName = eris.New("the name of a field in a response's head holds a blank")
 	// errInvalidStatus means that a response has a status below 100, such as 000.
 	errInvalidStatus = eris.New("the status of a response is below 100")
 	// errBodyNotAllowed means that a response has a body that its status does not allow.
@@ -35,27 +38,24 @@
 // responsePrefix begins each response, as far as it can be told from a few bytes.
 var responsePrefix = []byte("HTTP/")
 
-// headReader reads from a connection and fails once a head is longer than maxHeadBytes; it also checks the line ends of the head.
+// headReader reads from a connection and fails once a head is longer than maxHeadBytes; it also checks the lines of the head.
 type headReader struct {
 	source io.Reader
 	left   int64
-	lines  lineEndChecker
+	lines  lineChecker
 }
 
 // beginHead bounds what is read until endHead; buffered are the bytes that were read before.
 func (headReader *headReader) beginHead(buffered []byte) {
 	headReader.left = maxHeadBytes
-	headReader.lines = lineEndChecker{}
+	headReader.lines = lineChecker{}
 	headReader.lines.check(buffered)
 }
 
-// endHead lifts the bound, as for a body, which has bounds of its own, and returns an error if a line of the head did not end as it must.
+// endHead lifts the bound, as for a body, which has bounds of its own, and returns an error if a line of the head is not as it must be.
 func (headReader *headReader) endHead() error {
 	headReader.left = math.MaxInt64
-	if headReader.lines.bare {
-		return errBareLineFeed
-	}
-	return nil
+	return headReader.lines.err
 }
 
 // Read reads no more than the bound allows.
@@ -69,29 +69,44 @@
 	return n, err
 }
 
-// lineEndChecker finds lines of a head that end with a line feed alone; its zero value is ready for the first byte of a head.
-type lineEndChecker struct {
+// lineChecker finds lines of a head that net/http accepts and that may be broken ones; its zero value is ready for the first byte of a head.
+type lineChecker struct {
 	// previous is the last byte, and length is the number of bytes of the current line, without its end.
 	previous byte
 	length   int
-	ended    bool
-	bare     bool
+	// inName is whether the name of a field has begun and not ended.
+	inName bool
+	ended  bool
+	err    error
 }
 
 // check checks further bytes, up to the end of the head.
-func (lineEndChecker *lineEndChecker) check(data []byte) {
+func (lineChecker *lineChecker) check(data []byte) {
 	for _, one := range data {
-		if lineEndChecker.ended {
+		if lineChecker.ended {
 			return
 		}
-		if one == '\n' {
-			lineEndChecker.bare = lineEndChecker.bare || lineEndChecker.previous != '\r'
-			lineEndChecker.ended = lineEndChecker.length == 0
-			lineEndChecker.length = 0
-		} else if one != '\r' {
-			lineEndChecker.length++
+		switch one {
+		case '\n':
+			if lineChecker.previous != '\r' {
+				lineChecker.err = errBareLineFeed
+			}
+			lineChecker.ended = lineChecker.length == 0
+			lineChecker.length = 0
+			lineChecker.inName = true // fields follow the status line
+		case '\r':
+		case ' ', '\t':
+			if lineChecker.inName {
+				lineChecker.err = errBlankInName
+			}
+			lineChecker.length++
+		case ':':
+			lineChecker.inName = false
+			lineChecker.length++
+		default:
+			lineChecker.length++
 		}
-		lineEndChecker.previous = one
+		lineChecker.previous = one
 	}
 }
 
--- a/dialer/spoiled_test.go
+++ b/dialer/spoiled_test.go
@@ -91,3 +91,27 @@
 		})
 	}
 }
+
+// TestServiceResponseWithAnInvalidFieldName guards against a success in whose head the name of a field holds a blank or a control byte, at any place.
+func TestServiceResponseWithAnInvalidFieldName(t *testing.T) {
+	for name, raw := range rawResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := ""
+			call := callOnce(t, func() string { return text })
+			head, _, _ := strings.Cut(raw, "\r\n\r\n")
+			begin := strings.Index(head, "\r\n") + len("\r\n")
+			for field := range strings.SplitSeq(head[begin:], "\r\n") {
+				for place := range strings.Index(field, ":") + 1 {
+					for _, value := range []byte{' ', '\t', 0, '\x1f', '\x7f'} {
+						text = raw[:begin+place] + string([]byte{value}) + raw[begin+place:]
+						if body, err := call(); err == nil {
+							t.Errorf("%q in the name of %q at byte %d: a success with the body %q", value, field, place, body)
+						}
+					}
+				}
+				begin += len(field) + len("\r\n")
+			}
+		})
+	}
+}
--- a/gateway/soaker/raw_answer_test.go
+++ b/gateway/soaker/raw_answer_test.go
@@ -51,6 +51,9 @@
 	"reset-chunked":  {"HEADTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false, ""},
 	"status":         {trouble + "Content-Length: 4\r\n\r\npart", true, ""},
 	"status-before":  {trouble + "\r\nHEADContent-Length: 4\r\n\r\npart", true, ""},
+	"name-blank":     {"HEADContent-Length : 4\r\n\r\npart of this", true, ""},
+	"name-folded":    {"HEADX-Other: 1\r\n Content-Length: 4\r\n\r\npart", true, ""},
+	"name-control":   {"HEADX-\x01Other: 1\r\nContent-Length: 4\r\n\r\npart", true, ""},
 }
 
 var streamAnswers = map[string]rawAnswer{
@@ -58,6 +61,8 @@
 	"reset-stream":  {"HEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, false, ""},
 	"status":        {trouble + "Content-Type: text/event-stream\r\n\r\n" + twoEvents, true, ""},
 	"status-before": {trouble + "\r\nHEADContent-Type: text/event-stream\r\n\r\n" + twoEvents, true, ""},
+	"name-blank":    {"HEADContent-Type: text/event-stream\r\nX Other: 1\r\n\r\n" + twoEvents, true, ""},
+	"name-control":  {"HEADContent-Type: text/event-stream\r\nX\x7fOther: 1\r\n\r\n" + twoEvents, true, ""},
 }
 
 // write writes the answer to a request and ends its connection.
