--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,7 +13,7 @@
 	// dialTimeout bounds the time to connect within a region, whose links have a latency of a few milliseconds; a lost packet is sent again after
 	// one second.
 	dialTimeout = 1200 * time.Millisecond
-	// userTimeout ends a connection whose peer acknowledges nothing, because it has lost power or a partition separates it.
+	// userTimeout ends a connection whose peer acknowledges nothing, because it has lost power or a partition separates it; watchWindow suspends it.
 	userTimeout = 1500 * time.Millisecond
 	// keepAliveSteps is the number of equal pauses in that time: one before the first probe, and one after each probe.
 	keepAliveSteps = 3
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -44,6 +44,16 @@
 	err  error
 }
 
+// ended returns whether nothing more of the body is handed to the connection.
+func (bodyWrite *bodyWrite) ended() bool {
+	select {
+	case <-bodyWrite.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Send sends a request and returns its response once the status and headers are read, or a failure whose verdict says whether the request may
 // have run.
 func (connector *Connector) Send(ctx context.Context, request Request) (*Response, error) {
@@ -112,6 +122,7 @@
 		_, write.err = response.connection.Write(request.Body)
 		close(write.done)
 	}()
+	go response.connection.watchWindow(write)
 	return cranberryward.MayHaveRun, nil
 }
 
@@ -251,15 +262,8 @@
 
 // bodySent returns whether the body of the request was sent completely.
 func (response *Response) bodySent() bool {
-	if response.bodyWrite == nil {
-		return true
-	}
-	select {
-	case <-response.bodyWrite.done:
-		return response.bodyWrite.err == nil
-	default:
-		return false
-	}
+	write := response.bodyWrite
+	return write == nil || write.ended() && write.err == nil
 }
 
 // Abort resets the connection, which also tells the backend server to stop running the request.
--- a/connector/tcp_state_linux.go
+++ b/connector/tcp_info_linux.go
@@ -9,26 +9,29 @@
 // tcpClose is the state TCP_CLOSE of the kernel's tcp_states.h, which a connection has after a reset or a time-out. One that only the peer has closed is in TCP_CLOSE_WAIT.
 const tcpClose = 7
 
-// isClosed returns whether the connection has ended in both directions.
-func (connection *connection) isClosed() (bool, error) {
+// tcpInfo returns what the kernel tells of the connection, or nil for a connection that is none of the kernel's.
+func (connection *connection) tcpInfo() (*unix.TCPInfo, error) {
 	conn, ok := connection.Conn.(syscall.Conn)
 	if !ok {
-		return false, nil
+		return nil, nil
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	var info *unix.TCPInfo
 	var optionErr error
 	err = raw.Control(func(descriptor uintptr) {
 		info, optionErr = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err == nil {
-		err = optionErr
-	}
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	return info.State == tcpClose, nil
+	return info, optionErr
+}
+
+// isClosed returns whether the connection has ended in both directions.
+func (connection *connection) isClosed() (bool, error) {
+	info, err := connection.tcpInfo()
+	return info != nil && info.State == tcpClose, err
 }
