--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -158,13 +158,23 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
-// Handle returns a handler that tells each connection when its requests begin.
+// Handle returns a handler that tells each connection when its requests begin, and when a response breaks off.
 func (acceptor *Acceptor) Handle(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if connection, ok := request.Context().Value(connectionKey{}).(*connection); ok {
-			connection.beginHandling()
+		connection, ok := request.Context().Value(connectionKey{}).(*connection)
+		if !ok {
+			handler.ServeHTTP(writer, request)
+			return
 		}
+		connection.beginHandling()
+		ended := false
+		defer func() {
+			if !ended && !request.ProtoAtLeast(1, 1) {
+				connection.resetOnClose()
+			}
+		}()
 		handler.ServeHTTP(writer, request)
+		ended = true
 	})
 }
 
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -121,6 +121,12 @@
 	return n, err
 }
 
+// resetOnClose lets net/http, which closes the connection of a handler that has panicked, reset it: for a caller of HTTP/1.0, which gets no chunks, an orderly close would
+// end the response as complete.
+func (connection *connection) resetOnClose() {
+	_ = connection.SetLinger(0) // fails if the connection is closed
+}
+
 // headMemory returns how many bytes a head takes beyond what the memory of its connection includes.
 func headMemory(bytes, lines int) int64 {
 	return int64(headCost*max(bytes-freeHeadBytes, 0) + lineCost*max(lines-freeHeadLines, 0))
