--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -205,7 +205,7 @@
 	}
 	_, err := response.connection.reader.Peek(1)
 	if err == io.EOF && response.CloseDelimited() {
-		return nil
+		return response.checkClose()
 	}
 	return err
 }
--- a/gateway/entry/early_answer_test.go
+++ b/gateway/entry/early_answer_test.go
@@ -58,6 +58,8 @@
 	unframed := scriptserver.ResponseHead("ID", http.StatusOK) + "part"
 	failure := scriptserver.ResponseHead("ID", http.StatusInternalServerError) + "part"
 	unframedStream := scriptserver.ResponseHead("ID", http.StatusOK, eventHead) + events(0, 2)
+	refusal := scriptserver.ResponseHead("ID", http.StatusServiceUnavailable, "X-Not-Executed: 1", "Content-Length: 0")
+	rejection := scriptserver.ResponseHead("ID", http.StatusRequestEntityTooLarge, "Content-Length: 4") + "long"
 	sized, chunked := sizedResponse("text/plain", "booked", false).text(), chunkedResponse("text/plain", "booked").text()
 	chunkedStream := chunkedResponse("text/event-stream", events(0, 2), events(2, 4)).text()
 	type delivered struct {
@@ -77,6 +79,8 @@
 		"a stream":                      {"/once/", []script{answersAndResets(unframedStream)}, delivered{0, events(0, 2)}},
 		"a stream that is resumed":      {"/stream/", []script{answersAndResets(unframedStream), afterBody(resumes(4))}, delivered{http.StatusOK, events(0, 4)}},
 		"an empty stream":               {"/once/", []script{answersAndResets(scriptserver.ResponseHead("ID", http.StatusOK, eventHead))}, failed},
+		"a refusal":                     {"/book/", []script{answersAndResets(refusal), afterBody(responds(http.StatusOK, "booked"))}, delivered{http.StatusOK, "booked"}},
+		"a rejection":                   {"/book/", []script{answersAndResets(rejection)}, delivered{http.StatusRequestEntityTooLarge, "long"}},
 		"a whole booking":               {"/book/", []script{answersAndCloses(unframed)}, delivered{http.StatusOK, "part"}},
 		"a whole failure":               {"/book/", []script{answersAndCloses(failure)}, delivered{http.StatusInternalServerError, "part"}},
 		"a whole stream":                {"/once/", []script{answersAndCloses(unframedStream)}, delivered{http.StatusOK, events(0, 2)}},
@@ -98,3 +102,19 @@
 		})
 	}
 }
+
+// TestResetStreamDoesNotEndTheOtherSend guards against taking a stream without a length that was reset before its first event for the first answer of two sends, and
+// giving up the other one.
+func TestResetStreamDoesNotEndTheOtherSend(t *testing.T) {
+	reset := answersAndResets(scriptserver.ResponseHead("ID", http.StatusOK, "Content-Type: text/event-stream"))
+	fixture := newFixtureOf(t, scriptserver.NewEarly, []script{after(2*secondSendAfter, reset), afterBody(after(3*secondSendAfter, streams(0, 3, true)))})
+	fixture.view.Deployment.Limits.BodyBytes = 2 * int64(len(longQuestion))
+	fixture.allowSecondSends(0.5, 2)
+	status, body := fixture.send(fixture.request(http.MethodPost, "/stream/", longQuestion))
+	if status != http.StatusOK || body != events(0, 3) {
+		t.Errorf("response %d %q, expected %q", status, body, events(0, 3))
+	}
+	if runs := fixture.runs(); runs != 2 {
+		t.Errorf("%d requests reached backend servers, expected 2", runs)
+	}
+}
--- a/gateway/entry/second_send_test.go
+++ b/gateway/entry/second_send_test.go
@@ -50,6 +50,12 @@
 // newSecondSendFixture returns a fixture whose forwarder may send a share of the requests twice, the first one included.
 func newSecondSendFixture(t *testing.T, share float64, attempts int, scripts ...script) *fixture {
 	fixture := newFixture(t, scripts...)
+	fixture.allowSecondSends(share, attempts)
+	return fixture
+}
+
+// allowSecondSends replaces the forwarder by one that may send a share of the requests twice.
+func (fixture *fixture) allowSecondSends(share float64, attempts int) {
 	options := fixtureOptions
 	options.SecondSendShare = share
 	fixture.use(forwarder.New(options))
@@ -58,7 +64,6 @@
 		fixture.view.Deployment.Routes[i].AttemptLimit = attempts
 	}
 	fixture.forwarder.Configure(fixture.view)
-	return fixture
 }
 
 func TestSecondSend(t *testing.T) {
