connector, gateway: tests of early answers wait for events instead of sleeping

What the backend server does behind its response now follows what the client has seen: the head, or the whole response, which shows that it is not held back.

--- a/connector/unread_body_test.go
+++ b/connector/unread_body_test.go
@@ -45,7 +45,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(server.Close)
-			if body, err := readEarly(server.Address()); err != nil || body != "body" {
+			if body, err := readEarly(server.Address(), make(chan struct{}, 1)); err != nil || body != "body" {
 				t.Errorf("body %q, error %v", body, err)
 			}
 		})
@@ -58,11 +58,20 @@
 		info   unix.TCPInfo
 		closed bool
 	}{
-		"nothing to send":           {unix.TCPInfo{}, false},
-		"all acknowledged":          {unix.TCPInfo{Notsent_bytes: 1}, true},
-		"a probe sent just now":     {unix.TCPInfo{Notsent_bytes: 1, Probes: 1}, true},
-		"unanswered probes":         {unix.TCPInfo{Notsent_bytes: 1, Probes: 2}, false},
-		"sent and not acknowledged": {unix.TCPInfo{Notsent_bytes: 1, Unacked: 1}, false},
+		"nothing to send":  {unix.TCPInfo{}, false},
+		"all acknowledged": {unix.TCPInfo{Notsent_bytes: 1}, true},
+		"a probe sent just now": {unix.TCPInfo{
+			Notsent_bytes: 1,
+			Probes:        1,
+		}, true},
+		"unanswered probes": {unix.TCPInfo{
+			Notsent_bytes: 1,
+			Probes:        2,
+		}, false},
+		"sent and not acknowledged": {unix.TCPInfo{
+			Notsent_bytes: 1,
+			Unacked:       1,
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if closed := windowIsClosed(&test.info); closed != test.closed {
--- a/gateway/entry/early_answer_test.go
+++ b/gateway/entry/early_answer_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cranberryward/cranberryward/standin/scriptserver"
 )
@@ -28,14 +27,13 @@
 	}
 }
 
-// answersAndCloses does the same, but ends the answer in order and resets the connection later.
+// answersAndCloses does the same, but ends the answer in order, and reads on until the connection is given up.
 func answersAndCloses(text string) script {
 	return func(exchange *scriptserver.Exchange) bool {
 		readsBegin(exchange)
 		sendsRaw(func(id string) string { return strings.ReplaceAll(text, "ID", id) }, false)(exchange)
 		_ = exchange.Conn.(*net.TCPConn).CloseWrite() // fails if the entry has closed the connection
-		time.Sleep(5 * time.Millisecond)
-		exchange.Reset()
+		_, _ = io.Copy(io.Discard, exchange)
 		return false
 	}
 }
--- a/gateway/soaker/raw_answer_test.go
+++ b/gateway/soaker/raw_answer_test.go
@@ -9,7 +9,6 @@
 	"path"
 	"strings"
 	"testing"
-	"time"
 )
 
 const (
@@ -71,7 +70,6 @@
 	_, _ = io.WriteString(connection, strings.ReplaceAll(text, "ID", id)) // fails if the entry has given the request up
 	if rawAnswer.inOrder {
 		_ = connection.CloseWrite()
-		time.Sleep(time.Millisecond)
 	}
 	_ = connection.SetLinger(0)
 	_ = connection.Close()
