gateway/soaker: the soak answers a share of requests with broken answers

A plain backend server writes one of the raw answers that may not be delivered: reset without a length, a status of 000, a blank or a control byte in the name of a field. Callers check each body as before.

--- a/gateway/soaker/backend_test.go
+++ b/gateway/soaker/backend_test.go
@@ -97,9 +97,9 @@
 	host       *backendHost
 	// down is whether the backend server has crashed.
 	down atomic.Bool
-	// resets, refuses and fails are the percentages of requests that it resets after running them, refuses, and fails.
-	resets, refuses, fails atomic.Int64
-	announced              announced
+	// resets, refuses, fails and spoils are the percentages of requests that it resets after running them, refuses, fails, and answers with a broken answer.
+	resets, refuses, fails, spoils atomic.Int64
+	announced                      announced
 }
 
 func (app *app) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
@@ -133,6 +133,8 @@
 		panic(http.ErrAbortHandler)
 	case drawn < app.resets.Load()+app.fails.Load():
 		writer.WriteHeader(http.StatusInternalServerError)
+	case drawn < app.resets.Load()+app.fails.Load()+app.spoils.Load():
+		app.deployment.answerBroken(writer, id)
 	default:
 		fmt.Fprint(writer, "answer to ", id)
 	}
--- a/gateway/soaker/fault_test.go
+++ b/gateway/soaker/fault_test.go
@@ -181,6 +181,7 @@
 		{"responses reset", share(func(app *app, share int64) { app.resets.Store(share) })},
 		{"requests refused", share(func(app *app, share int64) { app.refuses.Store(share) })},
 		{"requests fail", share(func(app *app, share int64) { app.fails.Store(share) })},
+		{"answers are broken", share(func(app *app, share int64) { app.spoils.Store(share) })},
 		{"wrong IDs of events", func(random *rand.Rand) func() {
 			deployment.wrongIDs.Store(1 + random.Int64N(maxWrongIDs))
 			return func() { deployment.wrongIDs.Store(0) }
--- a/gateway/soaker/raw_answer_test.go
+++ b/gateway/soaker/raw_answer_test.go
@@ -83,13 +83,27 @@
 	id := request.Header.Get("X-Attempt-Id")
 	deployment.checker.recordRun(id)
 	_, _ = io.CopyN(io.Discard, request.Body, rawBegin) // fails if the entry has given the request up
+	deployment.writeRaw(writer, answers[path.Base(request.URL.Path)], id)
+	return true
+}
+
+// answerBroken answers a request with one of the raw answers that may not be delivered.
+func (deployment *deployment) answerBroken(writer http.ResponseWriter, id string) {
+	for _, answer := range plainAnswers { // in random order
+		if answer.body == "" {
+			deployment.writeRaw(writer, answer, id)
+			return
+		}
+	}
+}
+
+func (deployment *deployment) writeRaw(writer http.ResponseWriter, answer rawAnswer, id string) {
 	connection, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
-		deployment.t.Error(err)
-		return true
+		deployment.checker.report("%s: %v", id, err)
+		return
 	}
-	answers[path.Base(request.URL.Path)].write(connection.(*net.TCPConn), id)
-	return true
+	answer.write(connection.(*net.TCPConn), id)
 }
 
 // TestRawAnswers guards against delivering an answer that is broken, and against not delivering a whole one that comes before the request was read.
