standin/storeserver: a call that gets no response ends with its caller

Cause: net/http watches for a caller's leave only once the body of its request was read, which a call that is not served did not do. The handler waited for ever, and the end of the test for it. Ruled out: the programs under test, which had ended. Change: the body is read before the wait.

--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -140,6 +141,7 @@
 	case FaultUnavailable:
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	case FaultNoResponse:
+		_, _ = io.Copy(io.Discard, request.Body) // net/http watches for the caller's leave once the body was read
 		<-request.Context().Done()
 	case FaultLostResponse:
 		server.handler.ServeHTTP(&discardWriter{header: http.Header{}}, request)
