gateway/agent: a call that gets no response ends with its caller

As in standin/storeserver: a body that is not read hides that its caller has left, and the end of the test waits for the handler.

--- a/gateway/agent/cluster_test.go
+++ b/gateway/agent/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -65,6 +66,7 @@
 		case storeserver.FaultUnavailable:
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		case storeserver.FaultNoResponse:
+			_, _ = io.Copy(io.Discard, request.Body) // net/http watches for the caller's leave once the body was read
 			<-request.Context().Done()
 		default:
 			cluster.store.ServeHTTP(writer, request)
