Review: half an answer without a length passes for a whole one

Claim: a backend server that ends in the middle of an answer without a length and is back before the entry has read that end is taken for one that has finished; the caller gets half of the body with status 200 and the signature, as complete (rule MIXED).

--- a/review/rehearser/main.go
+++ b/review/rehearser/main.go
@@ -15,11 +15,15 @@
 // cases holds what plays each case; it returns whether the rule was broken.
 var cases = map[string]func(stage *stage) (broken bool, err error){
 	"cold-again": playColdAgain,
+	"late-end":   playLateEnd,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
+	if len(arguments) == 3 && arguments[0] == "serve" {
+		return serveChild(arguments[1], arguments[2])
+	}
 	if len(arguments) != 2 || cases[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rehearser CASE FOLDER   play a case and write its record into the folder")
 		return exitFailed
