Review: a trial, a time to stay away is forgotten with the registration

Claim: an entry forgets that a backend server has asked for time (503 with Retry-After) once its registration is missing from one reading of the store, and sends to it again as soon as it is back (rule BUDGET).

--- a/review/rehearser/main.go
+++ b/review/rehearser/main.go
@@ -14,6 +14,7 @@
 
 // cases holds what plays each case; it returns whether the rule was broken.
 var cases = map[string]func(stage *stage) (broken bool, err error){
+	"away":       playAway,
 	"cold-again": playColdAgain,
 	"late-end":   playLateEnd,
 }
--- a/review/rehearser/server.go
+++ b/review/rehearser/server.go
@@ -14,16 +14,17 @@
 // server stands in for a plain backend server of the users' pages: it checks which instance is expected, runs a request for a while in one of its slots, and signs its
 // answers.
 type server struct {
-	stage    *stage
-	id       string
-	service  string
-	number   int
-	zone     string
-	slots    int
-	work     time.Duration
-	born     int64
-	slot     chan struct{}
-	announce func(header http.Header)
+	stage   *stage
+	id      string
+	service string
+	number  int
+	zone    string
+	slots   int
+	work    time.Duration
+	born    int64
+	slot    chan struct{}
+	// turnAway, if set, returns for how long the server asks to be left alone as it turns a request away, or zero if it takes the request.
+	turnAway func() time.Duration
 	// onArrival is called for each arrival that is not for another instance, and returns false if the server crashes with it.
 	onArrival func(at time.Time) bool
 
@@ -109,9 +110,6 @@
 	header := writer.Header()
 	header.Set("X-Attempt-Id", id)
 	header.Set("X-Instance-Id", server.id)
-	if server.announce != nil {
-		server.announce(header)
-	}
 	if expected := request.Header.Get("X-Expected-Instance"); expected != "" && expected != server.id {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -124,6 +122,12 @@
 		server.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if server.turnAway != nil {
+		if stayAway := server.turnAway(); stayAway > 0 {
+			refuse(writer, stayAway)
+			return
+		}
+	}
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -135,8 +139,7 @@
 	case server.slot <- struct{}{}:
 		defer func() { <-server.slot }()
 	case <-time.After(time.Duration(remaining) * time.Millisecond):
-		header.Set("X-Not-Executed", "1")
-		writer.WriteHeader(http.StatusServiceUnavailable)
+		refuse(writer, 0)
 		return
 	case <-request.Context().Done():
 		return
