--- a/review/rehearser/callers.go
+++ b/review/rehearser/callers.go
@@ -55,12 +55,20 @@
 	})
 }
 
-func (callers *callers) send(kind kind) outcome {
+// send sends a request to the next entry in turn.
+func (callers *callers) send(kind kind) {
+	callers.mutex.Lock()
+	entry := (callers.number + 1) % len(callers.stage.entries)
+	callers.mutex.Unlock()
+	callers.sendTo(entry, kind)
+}
+
+// sendTo sends a request to an entry and keeps what its caller got.
+func (callers *callers) sendTo(entry int, kind kind) {
 	callers.mutex.Lock()
 	callers.number++
 	number := callers.number
 	callers.mutex.Unlock()
-	entry := number % len(callers.stage.entries)
 	outcome := outcome{
 		id:     fmt.Sprintf("%s-%d", kind.name, number),
 		kind:   kind.name,
@@ -92,7 +100,6 @@
 	callers.mutex.Lock()
 	defer callers.mutex.Unlock()
 	callers.outcomes = append(callers.outcomes, outcome)
-	return outcome
 }
 
 // list writes all outcomes to the record.
--- a/review/rehearser/child.go
+++ b/review/rehearser/child.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,12 +15,13 @@
 )
 
 const (
-	// answerBytes is the length of the body of an unframed answer, and answerPause is how long the server works between its two halves.
-	answerBytes = 800
-	answerPause = time.Second
+	// streamEvents is the mean number of events of popis-jadra on the site jadro-brno-grown, eventBytes the length of one, and eventPause the time between two.
+	streamEvents = 23
+	eventBytes   = 85
+	eventPause   = 80 * time.Millisecond
 )
 
-// serveChild runs a backend server in this process, which its parent kills: it answers without a length and without chunks, and ends its answers by closing the
+// serveChild runs a backend server in this process, which its parent kills: it sends streams without a length and without chunks, and ends them by closing the
 // connection, as the news pages allow.
 func serveChild(address, id string) int {
 	listener, err := net.Listen("tcp", address)
@@ -42,6 +45,9 @@
 	if err != nil {
 		return // nothing was sent on it
 	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return // the request is not whole
+	}
 	attempt := request.Header.Get("X-Attempt-Id")
 	head := "X-Attempt-Id: " + attempt + "\r\nX-Instance-Id: " + id + "\r\nConnection: close\r\n"
 	if expected := request.Header.Get("X-Expected-Instance"); expected != id {
@@ -49,18 +55,16 @@
 		return
 	}
 	fmt.Println("run", attempt)
-	fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%sX-Response-Signature: signed.%s\r\nContent-Type: text/plain\r\n\r\n", head, attempt)
-	fmt.Fprint(connection, wholeBody(attempt)[:answerBytes/2])
-	time.Sleep(answerPause)
-	fmt.Fprint(connection, wholeBody(attempt)[answerBytes/2:])
+	fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%sX-Response-Signature: signed.%s\r\nContent-Type: text/event-stream\r\n\r\n", head, attempt)
+	for number := range streamEvents {
+		time.Sleep(eventPause)
+		if _, err := fmt.Fprintf(connection, "id: %d\ndata: %s\n\n", number+1, strings.Repeat("x", eventBytes)); err != nil {
+			return // the caller has left
+		}
+	}
 	fmt.Println("answered", attempt)
 }
 
-// wholeBody returns the body of the answer to an attempt.
-func wholeBody(attempt string) string {
-	return strings.Repeat(attempt+".", answerBytes/len(attempt)+1)[:answerBytes]
-}
-
 // child is a backend server in a process of its own.
 type child struct {
 	stage   *stage
@@ -103,19 +107,30 @@
 	return child, nil
 }
 
-// register writes the registration of the backend server.
-func (child *child) register(service string, born int64) {
-	child.stage.put("servers/"+child.id, map[string]any{
-		"Service":         service,
-		"Address":         child.stage.address(child.number, serverPort),
-		"Zone":            zone(child.number),
-		"Version":         "v1",
-		"Slots":           6,
-		"State":           "ready",
-		"ColdRemainingMs": 0,
-		"Sequence":        1,
-		"born":            born,
-	})
+// keepRegistered registers the backend server now and with each heartbeat until it ends.
+func (child *child) keepRegistered(ctx context.Context, service string) {
+	born, sequence := time.Now().UnixMilli(), 0
+	register := func() {
+		select {
+		case <-child.exited:
+			return
+		default:
+		}
+		sequence++
+		child.stage.put("servers/"+child.id, map[string]any{
+			"Service":         service,
+			"Address":         child.stage.address(child.number, serverPort),
+			"Zone":            zone(child.number),
+			"Version":         "v1",
+			"Slots":           10,
+			"State":           "ready",
+			"ColdRemainingMs": 0,
+			"Sequence":        sequence,
+			"born":            born,
+		})
+	}
+	register()
+	child.stage.every(ctx, heartbeatInterval, register)
 }
 
 func (child *child) kill() {
--- a/review/rehearser/stage.go
+++ b/review/rehearser/stage.go
@@ -28,6 +28,8 @@
 	// heartbeatInterval is HeartbeatIntervalMs of the settings on the users' pages.
 	heartbeatInterval = 1200 * time.Millisecond
 	startTimeout      = 15 * time.Second
+	// maxSeeds is the most seeds that the platform names.
+	maxSeeds = 3
 	// graceSeconds is GracePeriodS.
 	graceSeconds = 8
 )
@@ -107,7 +109,7 @@
 // startEntries starts entries, one in each availability zone, and waits until they are ready.
 func (stage *stage) startEntries(count int) error {
 	seeds := []string{}
-	for number := range count {
+	for number := range min(count, maxSeeds) {
 		seeds = append(seeds, stage.address(10+number, controlPort))
 	}
 	for number := range count {
